--- /dev/null
+++ b/src/main/java/org/sandford/share/Share.java
@@ -0,0 +1,774 @@
+package org.sandford.share;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.peer.wire.MapShown;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.AssignmentMap.Machines;
+import org.sandford.share.AssignmentMap.TeamOwner;
+import org.sandford.share.AssignmentMap.Teams;
+import org.sandford.state.StateClient;
+import org.sandford.state.StateClient.Entry;
+import org.sandford.state.StateClient.Op;
+import org.sandford.state.StateClient.Outcome;
+import org.sandford.state.StateClient.Priority;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This controller's place among the others: its hold, the leadership, and the assignment map as far
+ * as it is known here.
+ */
+public final class Share {
+  private static final Logger log = LoggerFactory.getLogger(Share.class);
+  private static final String PREFIX = "c/";
+  private static final String MEMBER = "c/ctl/";
+  private static final String LEADER = "c/leader";
+  private static final String TEAMS = "c/teams";
+  private static final String MACHINES = "c/machines";
+  private static final String FINALS = "fin/";
+
+  /** The steps to membership; any loss of the hold leads back to the first. */
+  enum Membership {
+    /** No incarnation yet. */
+    NAMELESS,
+    /** An incarnation was taken from the store; a hold is asked for. */
+    NAMED,
+    /** A hold is held; the membership key is being written. */
+    HOLDING,
+    /** The membership key is on the hold. */
+    MEMBER
+  }
+
+  /** Told when something of the map or of the membership changed. */
+  public interface Listener {
+    /** The map, the hold or the leadership changed. */
+    void mapChanged();
+
+    /** A job's final state was stored by anybody. */
+    void finalSeen(String job, JsonNode record);
+
+    /** Final states may have been stored unseen: what rests on them must be read again. */
+    void finalsMissed();
+  }
+
+  /** A machine that the leader adds to the map. */
+  public record NewMachine(String name, String address, String kind, String zone, boolean spot) {}
+
+  private final Loop loop;
+  private final Settings settings;
+  private final StateClient state;
+  private Listener listener;
+
+  private Membership membership = Membership.NAMELESS;
+  private String id = "";
+  private long incarnation;
+  private long hold;
+  private long holdUntil;
+  private long membershipTry;
+
+  private long watchSince = -1;
+  private long watchFreshAt = Long.MIN_VALUE / 2;
+  private long finalsSince = -1;
+  private long finalsFreshAt = Long.MIN_VALUE / 2;
+
+  private final Map<String, String> members = new TreeMap<>();
+  private Teams teams = Teams.NONE;
+  private Machines machines = Machines.NONE;
+  private String leader = "";
+  private long leaderRevision;
+  private boolean electing;
+
+  // The leader's own wishes.
+  private long leaderSince;
+  private boolean writing;
+  private final Map<String, NewMachine> adds = new LinkedHashMap<>();
+  private final Set<String> removes = new TreeSet<>();
+  private final Map<String, String> moves = new LinkedHashMap<>();
+  private final Map<String, Long> yielded = new TreeMap<>();
+  private long hires;
+
+  public Share(Loop loop, Settings settings, StateClient state) {
+    this.loop = loop;
+    this.settings = settings;
+    this.state = state;
+  }
+
+  public void start(Listener to) {
+    listener = to;
+    join();
+    loadMap();
+    loadFinals();
+    loop.every(Constants.LEADER_TICK_MS, this::lead);
+  }
+
+  // --- what others ask ------------------------------------------------------------------------------
+
+  /** This life of this controller, or an empty text before it has one. */
+  public String id() {
+    return id;
+  }
+
+  public long incarnation() {
+    return incarnation;
+  }
+
+  public static String labelOf(String ownerId) {
+    int at = ownerId.lastIndexOf('#');
+    return at < 0 ? ownerId : ownerId.substring(0, at);
+  }
+
+  /** Whether this controller may start work and speak for its teams. */
+  public boolean holdValid() {
+    return membership == Membership.MEMBER && loop.nanos() < holdUntil;
+  }
+
+  public boolean leads() {
+    return holdValid() && !id.isEmpty() && leader.equals(id);
+  }
+
+  /** The leader's label, or an empty text. */
+  public String leaderLabel() {
+    return leader.isEmpty() ? "" : labelOf(leader);
+  }
+
+  public Teams teams() {
+    return teams;
+  }
+
+  public Machines machines() {
+    return machines;
+  }
+
+  public boolean mapKnown() {
+    return watchSince >= 0;
+  }
+
+  /**
+   * The latest moment at which every job called aborted by then is known here: both the hold and the
+   * watch on final states were good.
+   */
+  public long abortsKnownAt() {
+    return Math.min(finalsFreshAt, holdUntil - (long) (Constants.HOLD_TTL_MS * 1e6));
+  }
+
+  /** Whether workers' leases may still be renewed: an abort told elsewhere must kill in time. */
+  public boolean mayRenewLeases() {
+    double grace =
+        settings.facts().cancelS() * (1 - Constants.CLOCK_DRIFT)
+            - settings.facts().leaseS()
+            - Constants.KILL_MARGIN_S;
+    return loop.nanos() < abortsKnownAt() + (long) (grace * 1e9);
+  }
+
+  public String memberIdOf(String label) {
+    return members.getOrDefault(label, "");
+  }
+
+  public Set<String> liveIds() {
+    return new TreeSet<>(members.values());
+  }
+
+  // --- membership -----------------------------------------------------------------------------------
+
+  private void becomes(Membership next) {
+    log.debug("membership: {} -> {}", membership, next);
+    membership = next;
+  }
+
+  private void join() {
+    long attempt = ++membershipTry;
+    becomes(Membership.NAMELESS);
+    hold = 0;
+    holdUntil = loop.nanos();
+    state.get(
+        "inc/" + settings.label(),
+        Priority.RENEWAL,
+        (entry, known) -> {
+          if (attempt != membershipTry) {
+            return;
+          }
+          if (!known) {
+            rejoinSoon(attempt);
+            return;
+          }
+          long next = entry == null ? 1 : entry.value().path("n").asLong() + 1;
+          long stamp = entry == null ? 0 : entry.revision();
+          takeName(attempt, next, stamp);
+        });
+  }
+
+  private void rejoinSoon(long attempt) {
+    loop.after(
+        Constants.STATE_RETRY_MS,
+        () -> {
+          if (attempt == membershipTry) {
+            join();
+          }
+        });
+  }
+
+  private void takeName(long attempt, long number, long stamp) {
+    String key = "inc/" + settings.label();
+    state.txn(
+        Map.of(key, stamp),
+        List.of(Op.put(key, Json.object().put("n", number))),
+        Priority.RENEWAL,
+        result -> {
+          if (attempt != membershipTry) {
+            return;
+          }
+          // An unknown outcome may have used the number up, so the next try reads a higher one.
+          if (result.outcome() != Outcome.DONE) {
+            rejoinSoon(attempt);
+            return;
+          }
+          incarnation = number;
+          id = settings.label() + "#" + number;
+          hires = 0;
+          becomes(Membership.NAMED);
+          takeHold(attempt);
+        });
+  }
+
+  private void takeHold(long attempt) {
+    long sentAt = loop.nanos();
+    state.createHold(
+        Constants.HOLD_TTL_MS,
+        granted -> {
+          if (attempt != membershipTry) {
+            return;
+          }
+          if (granted == 0) {
+            rejoinSoon(attempt);
+            return;
+          }
+          hold = granted;
+          holdUntil = until(sentAt);
+          becomes(Membership.HOLDING);
+          writeMember(attempt);
+        });
+  }
+
+  /** Holds are counted from before the request went out, on a clock that may run fast. */
+  private static long until(long sentAt) {
+    double ttl = Constants.HOLD_TTL_MS * (1 - Constants.CLOCK_DRIFT) - Constants.HOLD_MARGIN_MS;
+    return sentAt + (long) (ttl * 1e6);
+  }
+
+  private void writeMember(long attempt) {
+    String key = MEMBER + settings.label();
+    state.txn(
+        Map.of(),
+        List.of(new Op(key, Json.object().put("id", id), hold)),
+        Priority.RENEWAL,
+        result -> {
+          if (attempt != membershipTry) {
+            return;
+          }
+          if (result.outcome() != Outcome.DONE) {
+            rejoinSoon(attempt);
+            return;
+          }
+          becomes(Membership.MEMBER);
+          log.info("joined as {}", id);
+          members.put(settings.label(), id);
+          loop.after(Constants.HOLD_RENEW_MS, () -> renew(attempt));
+          listener.mapChanged();
+          elect();
+        });
+  }
+
+  private void renew(long attempt) {
+    if (attempt != membershipTry) {
+      return;
+    }
+    long sentAt = loop.nanos();
+    state.renewHold(
+        hold,
+        status -> {
+          if (attempt != membershipTry) {
+            return;
+          }
+          if (status == 200) {
+            boolean back = !holdValid();
+            holdUntil = Math.max(holdUntil, until(sentAt));
+            if (back) {
+              log.info("the hold of {} is valid again", id);
+              listener.mapChanged();
+            }
+          } else if (status == 404) {
+            log.info("the hold of {} is over; joining anew", id);
+            join();
+            listener.mapChanged();
+            return;
+          } else if (!holdValid()) {
+            log.debug("the hold cannot be renewed: status {}", status);
+          }
+          loop.after(Constants.HOLD_RENEW_MS, () -> renew(attempt));
+        });
+  }
+
+  // --- the watches ----------------------------------------------------------------------------------
+
+  private void loadMap() {
+    long sentAt = loop.nanos();
+    state.list(
+        PREFIX,
+        (entries, epoch) -> {
+          if (entries == null) {
+            loop.after(Constants.STATE_RETRY_MS, this::loadMap);
+            return;
+          }
+          members.clear();
+          leader = "";
+          leaderRevision = 0;
+          entries.forEach(this::absorb);
+          watchSince = epoch;
+          watchFreshAt = sentAt;
+          listener.mapChanged();
+          elect();
+          follow();
+        });
+  }
+
+  private void follow() {
+    long sentAt = loop.nanos();
+    state.follow(
+        PREFIX,
+        watchSince,
+        changes -> {
+          if (changes.gap()) {
+            loadMap();
+            return;
+          }
+          if (!changes.answered()) {
+            loop.after(Constants.STATE_RETRY_MS, this::follow);
+            return;
+          }
+          watchFreshAt = sentAt;
+          watchSince = Math.max(watchSince, changes.epoch());
+          if (!changes.entries().isEmpty()) {
+            changes.entries().forEach(this::absorb);
+            listener.mapChanged();
+            elect();
+            lead();
+          }
+          follow();
+        });
+  }
+
+  private void loadFinals() {
+    long sentAt = loop.nanos();
+    // Only the revision is wanted: a prefix with nothing under it costs the least to read.
+    state.list(
+        "none/",
+        (entries, epoch) -> {
+          if (entries == null) {
+            loop.after(Constants.STATE_RETRY_MS, this::loadFinals);
+            return;
+          }
+          finalsSince = epoch;
+          finalsFreshAt = sentAt;
+          listener.finalsMissed();
+          followFinals();
+        });
+  }
+
+  private void followFinals() {
+    long sentAt = loop.nanos();
+    state.follow(
+        FINALS,
+        finalsSince,
+        changes -> {
+          if (changes.gap()) {
+            loadFinals();
+            return;
+          }
+          if (!changes.answered()) {
+            loop.after(Constants.STATE_RETRY_MS, this::followFinals);
+            return;
+          }
+          finalsSince = Math.max(finalsSince, changes.epoch());
+          for (Entry entry : changes.entries()) {
+            if (entry.value() != null) {
+              listener.finalSeen(entry.key().substring(FINALS.length()), entry.value());
+            }
+          }
+          finalsFreshAt = sentAt;
+          followFinals();
+        });
+  }
+
+  private void absorb(Entry entry) {
+    String key = entry.key();
+    if (key.startsWith(MEMBER)) {
+      String label = key.substring(MEMBER.length());
+      if (entry.value() == null) {
+        String gone = members.remove(label);
+        if (gone != null) {
+          log.info("controller {} is gone", gone);
+        }
+      } else {
+        String now = entry.value().path("id").asText();
+        if (!now.equals(members.put(label, now))) {
+          log.info("controller {} is here", now);
+        }
+      }
+    } else if (key.equals(LEADER)) {
+      if (entry.revision() >= leaderRevision) {
+        leader = entry.value() == null ? "" : entry.value().path("id").asText();
+        leaderRevision = entry.value() == null ? 0 : entry.revision();
+        leaderSince = loop.nanos();
+        log.info("the leader is {}", leader.isEmpty() ? "nobody" : leader);
+      }
+    } else if (key.equals(TEAMS) && entry.value() != null) {
+      takeTeams(Teams.read(entry.value(), entry.revision()));
+    } else if (key.equals(MACHINES) && entry.value() != null) {
+      takeMachines(Machines.read(entry.value(), entry.revision()));
+    }
+  }
+
+  private boolean takeTeams(Teams newer) {
+    if (newer.revision() <= teams.revision()) {
+      return false;
+    }
+    teams = newer;
+    return true;
+  }
+
+  private boolean takeMachines(Machines newer) {
+    if (newer.revision() <= machines.revision()) {
+      return false;
+    }
+    machines = newer;
+    return true;
+  }
+
+  /** What a peer shows of the map; a newer one makes a controller that was cut off step down. */
+  public void shown(MapShown map) {
+    boolean changed = false;
+    if (map.teamsRevision > teams.revision()) {
+      changed |= takeTeams(Teams.read(Json.read(map.teams), map.teamsRevision));
+    }
+    if (map.machinesRevision > machines.revision()) {
+      changed |= takeMachines(Machines.read(Json.read(map.machines), map.machinesRevision));
+    }
+    if (changed) {
+      listener.mapChanged();
+    }
+  }
+
+  public MapShown show() {
+    return new MapShown(
+        teams.revision(), Json.text(teams.json()), machines.revision(), Json.text(machines.json()));
+  }
+
+  // --- leadership -----------------------------------------------------------------------------------
+
+  private void elect() {
+    if (electing || !holdValid() || !mapKnown()) {
+      return;
+    }
+    boolean mineBefore = !leader.equals(id) && labelOf(leader).equals(settings.label());
+    if (!leader.isEmpty() && !mineBefore) {
+      return;
+    }
+    electing = true;
+    String candidate = id;
+    state.txn(
+        Map.of(LEADER, leader.isEmpty() ? 0 : leaderRevision),
+        List.of(new Op(LEADER, Json.object().put("id", candidate), hold)),
+        Priority.RENEWAL,
+        result -> {
+          electing = false;
+          if (result.outcome() == Outcome.DONE && candidate.equals(id)) {
+            absorb(new Entry(LEADER, Json.object().put("id", candidate), result.revision()));
+            listener.mapChanged();
+            lead();
+          } else if (result.outcome() != Outcome.DONE) {
+            // The watch tells who won; where nobody did, the next look tries again.
+            log.debug("election: {}", result.outcome());
+          }
+        });
+  }
+
+  /** A name for a rental request that nobody used before. */
+  public String newHireName() {
+    return id.replace('#', '.') + "." + ++hires;
+  }
+
+  public void addMachine(NewMachine machine) {
+    MachineOwner known = machines.of().get(machine.name());
+    boolean news = known == null || (!known.seen() && !machine.address().isEmpty());
+    if (news && !removes.contains(machine.name())) {
+      NewMachine before = adds.get(machine.name());
+      if (before == null || before.address().isEmpty()) {
+        adds.put(machine.name(), machine);
+        lead();
+      }
+    }
+  }
+
+  /** The machine was returned and that was answered, or it was seen to have stopped on its own. */
+  public void removeMachine(String name) {
+    adds.remove(name);
+    moves.remove(name);
+    if (machines.of().containsKey(name)) {
+      removes.add(name);
+      lead();
+    }
+  }
+
+  public void moveMachine(String name, String toId) {
+    moves.put(name, toId);
+    lead();
+  }
+
+  /** The team's owner has stopped speaking for it. */
+  public void teamYielded(String team, long generation) {
+    TeamOwner now = teams.of().get(team);
+    if (now != null && now.generation() == generation) {
+      yielded.put(team, generation);
+      lead();
+    }
+  }
+
+  private boolean isYielded(String team) {
+    TeamOwner now = teams.of().get(team);
+    return now != null && yielded.getOrDefault(team, -1L) == now.generation();
+  }
+
+  /** Teams whose owner has too many, with that owner; the leader asks the owner to yield. */
+  public Map<String, TeamOwner> teamsToSpread() {
+    Map<String, TeamOwner> out = new TreeMap<>();
+    if (!leads() || writing || members.size() < 2) {
+      return out;
+    }
+    Map<String, List<String>> byOwner = teamsByOwner();
+    int most = 0;
+    int least = Integer.MAX_VALUE;
+    String rich = "";
+    for (Map.Entry<String, List<String>> e : byOwner.entrySet()) {
+      if (e.getValue().size() > most) {
+        most = e.getValue().size();
+        rich = e.getKey();
+      }
+      least = Math.min(least, e.getValue().size());
+    }
+    if (most - least >= 2) {
+      String team = byOwner.get(rich).get(0);
+      out.put(team, teams.of().get(team));
+    }
+    return out;
+  }
+
+  private Map<String, List<String>> teamsByOwner() {
+    Map<String, List<String>> byOwner = new TreeMap<>();
+    members.values().forEach(member -> byOwner.put(member, new ArrayList<>()));
+    teams.of()
+        .forEach(
+            (team, owner) -> {
+              if (byOwner.containsKey(owner.owner()) && !isYielded(team)) {
+                byOwner.get(owner.owner()).add(team);
+              }
+            });
+    return byOwner;
+  }
+
+  /** Brings the map in line with who is there; one transaction at a time. */
+  private void lead() {
+    elect();
+    if (!leads() || writing || !members.containsValue(id)) {
+      return;
+    }
+    boolean complete = members.size() >= settings.facts().controllers();
+    boolean patient = loop.nanos() - leaderSince < Constants.LEADER_PATIENCE_MS * 1_000_000L;
+    if (!complete && patient) {
+      return;
+    }
+    Teams nextTeams = planTeams();
+    Machines nextMachines = planMachines();
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(LEADER, leaderRevision);
+    List<Op> ops = new ArrayList<>();
+    if (nextTeams != teams) {
+      conditions.put(TEAMS, teams.revision());
+      ops.add(Op.put(TEAMS, nextTeams.json()));
+    }
+    if (nextMachines != machines) {
+      conditions.put(MACHINES, machines.revision());
+      ops.add(Op.put(MACHINES, nextMachines.json()));
+    }
+    if (ops.isEmpty()) {
+      return;
+    }
+    writing = true;
+    state.txn(
+        conditions,
+        ops,
+        Priority.MAP,
+        result -> {
+          writing = false;
+          if (result.outcome() == Outcome.DONE) {
+            if (nextTeams != teams) {
+              takeTeams(new Teams(result.revision(), nextTeams.last(), nextTeams.of()));
+            }
+            if (nextMachines != machines) {
+              takeMachines(new Machines(result.revision(), nextMachines.last(), nextMachines.of()));
+            }
+            settleWishes();
+            listener.mapChanged();
+            lead();
+          } else {
+            readBack();
+          }
+        });
+  }
+
+  private void settleWishes() {
+    adds.values()
+        .removeIf(
+            add -> {
+              MachineOwner now = machines.of().get(add.name());
+              return now != null && (now.seen() || add.address().isEmpty());
+            });
+    removes.removeIf(name -> !machines.of().containsKey(name));
+    moves.entrySet()
+        .removeIf(
+            move -> {
+              MachineOwner now = machines.of().get(move.getKey());
+              return now == null || now.owner().equals(move.getValue()) || !members.containsValue(move.getValue());
+            });
+    yielded.keySet().removeIf(team -> !isYielded(team));
+  }
+
+  /** The outcome is unknown or another wrote: see what is stored before writing again. */
+  private void readBack() {
+    writing = true;
+    loop.after(
+        Constants.STATE_RETRY_MS,
+        () ->
+            state.list(
+                PREFIX,
+                (entries, epoch) -> {
+                  writing = false;
+                  if (entries != null) {
+                    entries.forEach(this::absorb);
+                    settleWishes();
+                    listener.mapChanged();
+                  }
+                }));
+  }
+
+  private Teams planTeams() {
+    Map<String, TeamOwner> next = new TreeMap<>(teams.of());
+    long last = teams.last();
+    Map<String, List<String>> byOwner = teamsByOwner();
+    Set<String> names = new TreeSet<>(settings.facts().teams().keySet());
+    names.addAll(next.keySet());
+    boolean changed = false;
+    for (String team : names) {
+      TeamOwner now = next.get(team);
+      if (now != null && byOwner.containsKey(now.owner()) && !isYielded(team)) {
+        continue;
+      }
+      String to = null;
+      for (Map.Entry<String, List<String>> e : byOwner.entrySet()) {
+        boolean giver = now != null && e.getKey().equals(now.owner()) && byOwner.size() > 1;
+        if (!giver && (to == null || e.getValue().size() < byOwner.get(to).size())) {
+          to = e.getKey();
+        }
+      }
+      if (to == null) {
+        continue;
+      }
+      byOwner.get(to).add(team);
+      next.put(team, new TeamOwner(to, ++last));
+      changed = true;
+    }
+    return changed ? new Teams(teams.revision(), last, next) : teams;
+  }
+
+  private Machines planMachines() {
+    Map<String, MachineOwner> next = new TreeMap<>(machines.of());
+    long last = machines.last();
+    boolean changed = false;
+    for (String name : removes) {
+      changed |= next.remove(name) != null;
+    }
+    for (NewMachine add : adds.values()) {
+      MachineOwner known = next.get(add.name());
+      if (known == null) {
+        next.put(add.name(), new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot()));
+        changed = true;
+      } else if (!known.seen() && !add.address().isEmpty()) {
+        next.put(add.name(), known.at(add.address()));
+        changed = true;
+      }
+    }
+    Map<String, Integer> sizes = new TreeMap<>();
+    next.values().forEach(m -> sizes.merge(m.owner() + "/" + m.zone(), 1, Integer::sum));
+    next.values().forEach(m -> sizes.merge(m.owner(), 1, Integer::sum));
+    for (Map.Entry<String, MachineOwner> e : new TreeMap<>(next).entrySet()) {
+      MachineOwner m = e.getValue();
+      String wish = moves.get(e.getKey());
+      boolean owned = members.containsValue(m.owner());
+      boolean moved = owned && wish != null && members.containsValue(wish) && !wish.equals(m.owner());
+      if (owned && !moved) {
+        continue;
+      }
+      String to = wish != null && members.containsValue(wish) ? wish : poorest(sizes, m.zone());
+      if (to == null) {
+        continue;
+      }
+      sizes.merge(to + "/" + m.zone(), 1, Integer::sum);
+      sizes.merge(to, 1, Integer::sum);
+      next.put(e.getKey(), m.ownedBy(to, ++last));
+      changed = true;
+    }
+    if (!changed) {
+      return machines;
+    }
+    Machines planned = new Machines(machines.revision(), last, next);
+    if (Json.bytes(planned.json()).length > settings.facts().stateValueBytes()) {
+      log.error("the assignment map no longer fits the store's value limit; nothing is added to it");
+      return machines;
+    }
+    return planned;
+  }
+
+  /** Whether the map could take so many machines more within the store's value limit. */
+  public boolean mapHasRoomFor(int more) {
+    int size = Json.bytes(machines.json()).length;
+    int each = machines.of().isEmpty() ? 100 : size / machines.of().size() + 8;
+    return size + (long) each * (more + adds.size()) < settings.facts().stateValueBytes();
+  }
+
+  /** Each share has every zone where possible: fewest machines in the zone, then fewest at all. */
+  private String poorest(Map<String, Integer> sizes, String zone) {
+    String best = null;
+    for (String member : members.values()) {
+      if (best == null) {
+        best = member;
+        continue;
+      }
+      int inZone = sizes.getOrDefault(member + "/" + zone, 0) - sizes.getOrDefault(best + "/" + zone, 0);
+      int all = sizes.getOrDefault(member, 0) - sizes.getOrDefault(best, 0);
+      if (inZone < 0 || (inZone == 0 && all < 0)) {
+        best = member;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/state/RecordWriter.java
@@ -0,0 +1,137 @@
+package org.sandford.state;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.state.StateClient.Op;
+import org.sandford.state.StateClient.Outcome;
+import org.sandford.state.StateClient.Priority;
+import org.sandford.state.StateClient.Result;
+
+/**
+ * Group commit of job records: independent conditional writes travel in one transaction, as many as
+ * the facts allow. A write whose condition fails is handed back; the others of its transaction go
+ * again, since a transaction answered with a conflict was surely not applied.
+ */
+public final class RecordWriter {
+  /** One independent write. */
+  public record Write(Map<String, Long> conditions, List<Op> ops, boolean urgent, Consumer<Result> done) {}
+
+  private final StateClient state;
+  private final int maxOps;
+  private final ArrayDeque<Write> urgent = new ArrayDeque<>();
+  private final ArrayDeque<Write> waiting = new ArrayDeque<>();
+  private final Loop loop;
+  private int inFlight;
+  private boolean flushing;
+
+  public RecordWriter(Loop loop, StateClient state, int maxOps) {
+    this.loop = loop;
+    this.state = state;
+    this.maxOps = maxOps;
+  }
+
+  public int backlog() {
+    return urgent.size() + waiting.size();
+  }
+
+  public void write(Write write) {
+    (write.urgent ? urgent : waiting).addLast(write);
+    flushSoon();
+  }
+
+  private void flushSoon() {
+    if (!flushing) {
+      flushing = true;
+      loop.execute(
+          () -> {
+            flushing = false;
+            flush();
+          });
+    }
+  }
+
+  private void flush() {
+    while (inFlight < Constants.TXNS_IN_FLIGHT && backlog() > 0) {
+      List<Write> batch = new ArrayList<>();
+      boolean hurried = !urgent.isEmpty();
+      int bytes = gather(urgent, batch, 0);
+      gather(waiting, batch, bytes);
+      send(batch, hurried ? Priority.MAP : Priority.RECORD);
+    }
+  }
+
+  /** Moves writes into the batch while it stays within the limits and names no key twice. */
+  private int gather(ArrayDeque<Write> from, List<Write> batch, int bytes) {
+    int ops = batch.stream().mapToInt(w -> w.ops.size()).sum();
+    java.util.Set<String> keys = new java.util.HashSet<>();
+    batch.forEach(w -> w.ops.forEach(op -> keys.add(op.key())));
+    for (Iterator<Write> it = from.iterator(); it.hasNext(); ) {
+      Write write = it.next();
+      int size = Json.bytes(StateClient.txnBody(write.conditions, write.ops)).length;
+      if (!batch.isEmpty() && (ops + write.ops.size() > maxOps || bytes + size > Constants.TXN_BYTES)) {
+        break;
+      }
+      if (write.ops.stream().anyMatch(op -> keys.contains(op.key()))) {
+        continue;
+      }
+      it.remove();
+      batch.add(write);
+      write.ops.forEach(op -> keys.add(op.key()));
+      ops += write.ops.size();
+      bytes += size;
+    }
+    return bytes;
+  }
+
+  private void send(List<Write> batch, Priority priority) {
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    List<Op> ops = new ArrayList<>();
+    List<Write> sent = new ArrayList<>();
+    List<Write> later = new ArrayList<>();
+    for (Write write : batch) {
+      boolean agrees =
+          write.conditions.entrySet().stream()
+              .allMatch(c -> conditions.getOrDefault(c.getKey(), c.getValue()).equals(c.getValue()));
+      if (!agrees) {
+        later.add(write);
+        continue;
+      }
+      conditions.putAll(write.conditions);
+      ops.addAll(write.ops);
+      sent.add(write);
+    }
+    later.forEach(waiting::addFirst);
+    inFlight++;
+    state.txn(
+        conditions,
+        ops,
+        priority,
+        result -> {
+          inFlight--;
+          finish(sent, result);
+          flushSoon();
+        });
+  }
+
+  private void finish(List<Write> batch, Result result) {
+    if (result.outcome() != Outcome.CONFLICT) {
+      batch.forEach(write -> write.done.accept(result));
+      return;
+    }
+    for (Write write : batch) {
+      if (batch.size() == 1 || result.failed().stream().anyMatch(write.conditions::containsKey)) {
+        write.done.accept(result);
+      } else {
+        (write.urgent ? urgent : waiting).addFirst(write);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/state/StateClient.java
@@ -0,0 +1,326 @@
+package org.sandford.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.HttpCalls;
+import org.sandford.core.HttpCalls.Reply;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.core.TokenBucket;
+
+/**
+ * The state service as its protocol describes it: reads, conditional transactions, holds and
+ * watches, kept within the facts' rates. Renewals go first, then the map and aborts, then records,
+ * then reads.
+ */
+public final class StateClient {
+  /** What goes first when the rates are short. */
+  public enum Priority {
+    RENEWAL,
+    MAP,
+    RECORD,
+    READ
+  }
+
+  /** How a transaction ended, as far as the caller can know. */
+  public enum Outcome {
+    /** Applied; the revision is known. */
+    DONE,
+    /** Not applied: a condition failed. */
+    CONFLICT,
+    /** Not applied: refused, malformed or never sent. */
+    REFUSED,
+    /** It may have been applied, or may yet be: read back, never just repeat. */
+    UNKNOWN
+  }
+
+  public record Result(Outcome outcome, long revision, List<String> failed) {}
+
+  public record Entry(String key, JsonNode value, long revision) {}
+
+  /** A change of one key; a null value is a removal. */
+  public record Op(String key, ObjectNode value, long hold) {
+    public static Op put(String key, ObjectNode value) {
+      return new Op(key, value, 0);
+    }
+
+    public static Op remove(String key) {
+      return new Op(key, null, 0);
+    }
+  }
+
+  private record Queued(double writes, Runnable send) {}
+
+  private final Loop loop;
+  private final HttpCalls http;
+  private final String address;
+  private final TokenBucket requests;
+  private final TokenBucket writes;
+  private final EnumMap<Priority, ArrayDeque<Queued>> queues = new EnumMap<>(Priority.class);
+  private boolean pumping;
+
+  public StateClient(Loop loop, HttpCalls http, String address, double rps, double writeRps) {
+    this.loop = loop;
+    this.http = http;
+    this.address = address;
+    this.requests = new TokenBucket(loop, rps * Constants.STATE_RATE_SHARE);
+    this.writes = new TokenBucket(loop, writeRps * Constants.STATE_RATE_SHARE);
+    for (Priority priority : Priority.values()) {
+      queues.put(priority, new ArrayDeque<>());
+    }
+  }
+
+  /** Milliseconds until so many writes of a record could go out now. */
+  public long writeWaitMillis(int count) {
+    return writes.waitMillis(count);
+  }
+
+  private void enqueue(Priority priority, double writeOps, Runnable send) {
+    queues.get(priority).addLast(new Queued(writeOps, send));
+    pump();
+  }
+
+  private void pump() {
+    for (Priority priority : Priority.values()) {
+      ArrayDeque<Queued> queue = queues.get(priority);
+      while (!queue.isEmpty()) {
+        Queued head = queue.peekFirst();
+        // Renewals are never held up by our own accounting: losing a hold costs a takeover.
+        boolean free = priority == Priority.RENEWAL;
+        if (!free && (!requests.allows(1) || (head.writes > 0 && !writes.allows(head.writes)))) {
+          wakeIn(Math.max(requests.waitMillis(1), head.writes > 0 ? writes.waitMillis(head.writes) : 0));
+          return;
+        }
+        queue.pollFirst();
+        requests.take(1);
+        if (head.writes > 0) {
+          writes.take(head.writes);
+        }
+        head.send.run();
+      }
+    }
+  }
+
+  private void wakeIn(long millis) {
+    if (!pumping) {
+      pumping = true;
+      loop.after(
+          Math.max(1, millis),
+          () -> {
+            pumping = false;
+            pump();
+          });
+    }
+  }
+
+  private static String path(String key) {
+    return "/store/" + key;
+  }
+
+  private static String query(String text) {
+    return URLEncoder.encode(text, StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Reads one key. {@code done} gets the entry and true; null and true when the store says there is
+   * none; null and false when nothing is known.
+   */
+  public void get(String key, BiConsumer<Entry, Boolean> done) {
+    get(key, Priority.READ, done);
+  }
+
+  public void get(String key, Priority priority, BiConsumer<Entry, Boolean> done) {
+    enqueue(
+        priority,
+        0,
+        () ->
+            http.send(
+                address,
+                "GET",
+                path(key),
+                null,
+                Constants.STATE_CALL_MS,
+                reply -> {
+                  if (reply.ok()) {
+                    JsonNode body = Json.read(reply.body());
+                    done.accept(new Entry(key, body.path("v"), body.path("stamp").asLong()), true);
+                  } else {
+                    done.accept(null, reply.status() == 404);
+                  }
+                }));
+  }
+
+  /** Reads all keys under a prefix, page by page; {@code done} gets null when a page failed. */
+  public void list(String prefix, BiConsumer<List<Entry>, Long> done) {
+    listFrom(prefix, "", new ArrayList<>(), -1, done);
+  }
+
+  private void listFrom(
+      String prefix, String since, List<Entry> sofar, long firstEpoch, BiConsumer<List<Entry>, Long> done) {
+    String path =
+        "/store?under=" + query(prefix)
+            + (since.isEmpty() ? "" : "&since=" + query(since))
+            + "&limit=" + Constants.STORE_PAGE;
+    enqueue(
+        Priority.MAP,
+        0,
+        () ->
+            http.send(
+                address,
+                "GET",
+                path,
+                null,
+                Constants.STATE_CALL_MS,
+                reply -> {
+                  if (!reply.ok()) {
+                    done.accept(null, -1L);
+                    return;
+                  }
+                  JsonNode body = Json.read(reply.body());
+                  String last = since;
+                  for (JsonNode item : body.path("entries")) {
+                    last = item.path("k").asText();
+                    sofar.add(new Entry(last, item.path("v"), item.path("stamp").asLong()));
+                  }
+                  // A watch from the first page's revision misses nothing of the later pages.
+                  long epoch = firstEpoch >= 0 ? firstEpoch : body.path("epoch").asLong();
+                  if (body.path("more").asBoolean() && !last.equals(since)) {
+                    listFrom(prefix, last, sofar, epoch, done);
+                  } else {
+                    done.accept(sofar, epoch);
+                  }
+                }));
+  }
+
+  /** One transaction; it is sent once and never repeated here. */
+  public void txn(Map<String, Long> conditions, List<Op> ops, Priority priority, Consumer<Result> done) {
+    byte[] body = Json.bytes(txnBody(conditions, ops));
+    enqueue(
+        priority,
+        ops.size(),
+        () ->
+            http.send(
+                address,
+                "POST",
+                "/txn",
+                body,
+                Constants.STATE_CALL_MS,
+                reply -> done.accept(result(reply))));
+  }
+
+  static ObjectNode txnBody(Map<String, Long> conditions, List<Op> ops) {
+    ObjectNode body = Json.object();
+    ArrayNode when = body.putArray("when");
+    conditions.forEach((key, stamp) -> when.addObject().put("k", key).put("stamp", stamp));
+    ArrayNode writes = body.putArray("writes");
+    for (Op op : ops) {
+      ObjectNode write = writes.addObject();
+      if (op.value() == null) {
+        write.put("remove", op.key());
+      } else {
+        write.put("put", op.key());
+        write.set("v", op.value());
+        if (op.hold() > 0) {
+          write.put("permit", op.hold());
+        }
+      }
+    }
+    return body;
+  }
+
+  private static Result result(Reply reply) {
+    JsonNode body = Json.read(reply.body());
+    long epoch = body.path("epoch").asLong();
+    return switch (reply.status()) {
+      case 200 -> new Result(Outcome.DONE, epoch, List.of());
+      case 409 -> {
+        List<String> failed = new ArrayList<>();
+        body.path("failed").forEach(key -> failed.add(key.asText()));
+        yield new Result(Outcome.CONFLICT, epoch, failed);
+      }
+      case 400, 429, 503, Reply.NOT_SENT -> new Result(Outcome.REFUSED, 0, List.of());
+      default -> new Result(Outcome.UNKNOWN, 0, List.of());
+    };
+  }
+
+  /** Asks for a hold; {@code done} gets its id, or 0. */
+  public void createHold(int ttlMs, Consumer<Long> done) {
+    byte[] body = Json.bytes(Json.object().put("ttl_ms", ttlMs));
+    enqueue(
+        Priority.RENEWAL,
+        0,
+        () ->
+            http.send(
+                address,
+                "POST",
+                "/holds",
+                body,
+                Constants.STATE_CALL_MS,
+                reply -> done.accept(reply.ok() ? Json.read(reply.body()).path("permit").asLong() : 0L)));
+  }
+
+  /** Renews a hold; {@code done} gets the status. */
+  public void renewHold(long hold, Consumer<Integer> done) {
+    enqueue(
+        Priority.RENEWAL,
+        0,
+        () ->
+            http.send(
+                address,
+                "POST",
+                "/holds/" + hold + "/renew",
+                new byte[] {'{', '}'},
+                Constants.HOLD_CALL_MS,
+                reply -> done.accept(reply.status())));
+  }
+
+  /** What a watch saw. {@code gap} means that changes were missed and the keys must be read again. */
+  public record Changes(long epoch, List<Entry> entries, boolean gap, boolean answered) {}
+
+  /** Waits for changes under a prefix; a removal is an entry with a null value. */
+  public void follow(String prefix, long since, Consumer<Changes> done) {
+    String path =
+        "/follow?under=" + query(prefix) + "&since=" + since + "&block_ms=" + Constants.WATCH_BLOCK_MS;
+    enqueue(
+        Priority.RENEWAL,
+        0,
+        () ->
+            http.send(
+                address,
+                "GET",
+                path,
+                null,
+                Constants.WATCH_CALL_MS,
+                reply -> {
+                  if (!reply.ok()) {
+                    done.accept(new Changes(since, List.of(), reply.status() == 410, false));
+                    return;
+                  }
+                  JsonNode body = Json.read(reply.body());
+                  Map<String, Entry> latest = new LinkedHashMap<>();
+                  for (JsonNode event : body.path("log")) {
+                    boolean put = event.has("put");
+                    String key = event.path(put ? "put" : "remove").asText();
+                    long stamp = event.path("stamp").asLong();
+                    Entry known = latest.get(key);
+                    if (known == null || known.revision() <= stamp) {
+                      latest.put(key, new Entry(key, put ? event.path("v") : null, stamp));
+                    }
+                  }
+                  done.accept(
+                      new Changes(body.path("epoch").asLong(), List.copyOf(latest.values()), false, true));
+                }));
+  }
+}
