--- a/src/main/java/org/sandford/cli/Rehearsal.java
+++ b/src/main/java/org/sandford/cli/Rehearsal.java
@@ -1,10 +1,136 @@
 package org.sandford.cli;
 
-/** Loads the classes that a start needs, for the class-data archive that the build makes. */
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.sandford.core.Answer;
+import org.sandford.core.Controller;
+import org.sandford.core.Json;
+import org.sandford.net.NettyHttpClient;
+import org.sandford.net.NettyHttpServer;
+import org.sandford.net.NettyLoop;
+import org.sandford.net.NettyPeers;
+import org.sandford.peer.FrameCodec;
+import org.sandford.peer.wire.MachineSeen;
+import org.sandford.settings.Settings;
+import org.sandford.settings.SettingsException;
+import org.sandford.settings.SettingsLoader;
+
+/**
+ * Loads the classes that a start needs, for the class-data archive that the build makes: a controller
+ * runs for a moment on the loopback interface against itself.
+ */
 final class Rehearsal {
+  private static final String SETTINGS =
+      """
+      label = "rehearsal"
+      zone = "z"
+      listen = "127.0.0.1:%1$d"
+      peer_listen = "127.0.0.1:%2$d"
+
+      [[others]]
+      label = "itself"
+      zone = "z"
+      address = "127.0.0.1:%2$d"
+
+      [services]
+      cloud = "127.0.0.1:%1$d"
+      state = "127.0.0.1:%1$d"
+
+      [facts]
+      zones = ["z"]
+
+      [[facts.teams]]
+      name = "t"
+      cpus = 1.0
+      cpus_max = 1.0
+
+      [facts.workers]
+      report_s = 1.0
+      lease_s = 5.0
+      cancel_s = 20.0
+
+      [facts.state]
+      rps = 50.0
+      write_rps = 50.0
+      value_kb = 8.0
+      txn_ops = 8
+
+      [facts.cloud]
+      rps = 5.0
+
+      [facts.machine_limits]
+      sockets = 500
+      """;
+
   private Rehearsal() {}
 
   static int run() {
-    return 0;
+    try {
+      int port = freePort();
+      Path file = Files.createTempFile("sandford", ".toml");
+      Files.writeString(file, SETTINGS.formatted(port, freePort()));
+      Settings settings = SettingsLoader.load(file, null);
+      Files.delete(file);
+      FrameCodec codec = new FrameCodec();
+      codec.decode(codec.encode(new MachineSeen("m", "a", "k", "z", false)));
+      rehearse(settings);
+      return 0;
+    } catch (IOException | SettingsException | InterruptedException e) {
+      System.err.println("sandford: the rehearsal failed: " + e);
+      return 1;
+    }
+  }
+
+  private static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return socket.getLocalPort();
+    }
+  }
+
+  private static void rehearse(Settings settings) throws InterruptedException {
+    NettyLoop loop = new NettyLoop();
+    NettyPeers peers = new NettyPeers(loop, settings.peerListen().host(), settings.peerListen().port());
+    NettyHttpClient http = new NettyHttpClient(loop);
+    Controller controller = new Controller(loop, settings, http, peers);
+    NettyHttpServer server =
+        new NettyHttpServer(
+            loop,
+            100,
+            (method, path, body, answer) -> {
+              ObjectNode known = storeAnswer(path);
+              if (known != null) {
+                answer.accept(Answer.of(200, known));
+              } else {
+                controller.api().take(method, path, body, answer);
+              }
+            });
+    server.listen(settings.listen().host(), settings.listen().port());
+    loop.execute(controller::start);
+    CountDownLatch over = new CountDownLatch(1);
+    http.send(
+        settings.listen().toString(), "POST", "/work", new byte[] {'{', '}'}, 1_000,
+        reply -> loop.after(1_500, over::countDown));
+    over.await(10, TimeUnit.SECONDS);
+    loop.shutdown();
+  }
+
+  /** Enough of a store and a cloud for a controller to join and look around. */
+  private static ObjectNode storeAnswer(String path) {
+    ObjectNode answer = Json.object().put("epoch", 1).put("permit", 1).put("more", false);
+    if (path.startsWith("/store?") || path.equals("/txn") || path.startsWith("/holds") || path.startsWith("/machines")) {
+      answer.putArray("entries");
+      return answer;
+    }
+    if (path.equals("/flavors")) {
+      answer.putArray("machine_kinds").addObject().put("sku", "k").put("vcpus", 1).putArray("sites").add("z");
+      return answer;
+    }
+    return null;
   }
 }
