A cancelled job's end may be told twice; faults in answers are logged

Cause: the end of a cancelled job, seen again on the watch, threw inside the watch's own callback and stopped the watch, so lease renewals ended 28 s later.

--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -678,7 +678,8 @@
   /** Somebody stored this job's final state, possibly this controller. */
   public void finalSeen(String id, JsonNode record) {
     Job job = jobs.get(id);
-    if (job != null && !job.writing) {
+    // A cancelled job stays known until its tasks are gone, so its end may be told more than once.
+    if (job != null && !job.writing && !job.phase().over()) {
       ended(job, record.path("s").asText());
     }
   }
--- a/src/main/java/org/sandford/net/NettyHttpClient.java
+++ b/src/main/java/org/sandford/net/NettyHttpClient.java
@@ -27,9 +27,12 @@
 import org.sandford.Constants;
 import org.sandford.core.HttpCalls;
 import org.sandford.core.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Keeps connections open per address; one request at a time on each, none pipelined. */
 public final class NettyHttpClient implements HttpCalls {
+  private static final Logger log = LoggerFactory.getLogger(NettyHttpClient.class);
   private static final int RESPONSE_BYTES = 64 * 1024 * 1024;
   private static final Reply UNKNOWN = new Reply(Reply.UNKNOWN, new byte[0]);
   private static final Reply NOT_SENT = new Reply(Reply.NOT_SENT, new byte[0]);
@@ -135,7 +138,12 @@
         if (timer != null) {
           timer.cancel();
         }
-        done.accept(reply);
+        try {
+          done.accept(reply);
+        } catch (RuntimeException e) {
+          // A fault in one answer must not pass for a broken connection.
+          log.error("an answer could not be taken", e);
+        }
       }
     }
   }
--- a/src/main/java/org/sandford/net/NettyHttpServer.java
+++ b/src/main/java/org/sandford/net/NettyHttpServer.java
@@ -26,6 +26,8 @@
 import org.sandford.Constants;
 import org.sandford.core.Answer;
 import org.sandford.core.Json;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Takes users', workers' and health requests and hands each to one function that answers later. */
 public final class NettyHttpServer {
@@ -34,6 +36,7 @@
     void take(String method, String path, byte[] body, Consumer<Answer> answer);
   }
 
+  private static final Logger log = LoggerFactory.getLogger(NettyHttpServer.class);
   private final NettyLoop loop;
   private final Requests requests;
   private final int most;
@@ -136,6 +139,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      if (cause instanceof java.io.IOException) {
+        log.debug("a connection failed: {}", cause.toString());
+      } else {
+        log.error("a request could not be taken", cause);
+      }
       ctx.close();
     }
   }
--- a/src/main/java/org/sandford/net/NettyPeers.java
+++ b/src/main/java/org/sandford/net/NettyPeers.java
@@ -109,7 +109,11 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      log.info("a peer link failed: {}", cause.toString());
+      if (cause instanceof java.io.IOException) {
+        log.info("a peer link failed: {}", cause.toString());
+      } else {
+        log.error("a peer's frame could not be taken", cause);
+      }
       ctx.close();
     }
 
