--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -13,9 +13,13 @@
 import org.sandford.core.Answer;
 import org.sandford.core.Json;
 import org.sandford.placement.Need;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** One job of a team that this controller owns, with its tasks. */
 final class Job {
+  private static final Logger log = LoggerFactory.getLogger(Job.class);
+
   /** Life of a job; the last two are for ever. */
   enum Phase {
     /** Its record is being written; nobody was told that it is accepted. */
@@ -109,6 +113,7 @@
   final Set<String> avoid = new HashSet<>();
   int failuresInRow;
   String lastFailure = "";
+  private String waitReason = "";
   long notBefore;
   long preemptAgainAt;
   long waitingSince;
@@ -135,6 +140,16 @@
     phase = next;
   }
 
+  /** Notes why its tasks wait, for its user and for the log. */
+  void waitsBecause(String reason) {
+    if (!reason.equals(waitReason)) {
+      waitReason = reason;
+      if (!reason.isEmpty()) {
+        log.debug("{} waits: {}", spec.id(), reason);
+      }
+    }
+  }
+
   boolean runnable() {
     return phase == Phase.OPEN && waitingCount > 0;
   }
@@ -255,7 +270,9 @@
             .put("status", state)
             .put("done", doneCount)
             .put("running", running());
-    if (!phase.over() && !lastFailure.isEmpty()) {
+    if (!phase.over() && waitingCount > 0 && !waitReason.isEmpty()) {
+      node.put("reason", waitReason);
+    } else if (!phase.over() && !lastFailure.isEmpty()) {
       node.put("reason", lastFailure);
     }
     return node;
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -903,12 +903,17 @@
       boolean whole = team.fitsWhole(job.spec) && !job.started;
       int count = Math.min(job.waitingCount, allowed);
       if (count == 0 || (whole && count < job.waitingCount)) {
+        job.waitsBecause(
+            String.format(
+                "team %s has room for %d more tasks of %.1f CPUs within its limit of %.1f, and %d wait",
+                team.name, allowed, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
         continue;
       }
       LikeTasks like = LikeTasks.of(job.spec);
       int need = whole ? count : 1;
       boolean plain = job.placed.isEmpty() && job.avoid.isEmpty();
       if (plain && hopeless.getOrDefault(like, Integer.MAX_VALUE) <= need) {
+        job.waitsBecause(noRoom(need, job.spec));
         continue;
       }
       Planner.Plan plan = planner.place(job.need(), count, rooms, whole);
@@ -921,17 +926,24 @@
         if (plain) {
           hopeless.merge(like, need, Math::min);
         }
+        job.waitsBecause(noRoom(need, job.spec));
         continue;
       }
       carryOut(team, job, plan);
     }
   }
 
+  private static String noRoom(int tasks, JobSpec spec) {
+    return String.format(
+        "no machines have room for %d tasks of %.1f CPUs and %.1f GB at once", tasks, spec.cpus(), spec.ram());
+  }
+
   private void carryOut(Team team, Job job, Planner.Plan plan) {
     long now = loop.nanos();
     List<Integer> tasks = TaskRanges.first(job.waiting, plan.tasks());
     int next = 0;
     job.started = true;
+    job.waitsBecause("");
     for (Planner.Slot slot : plan.slots()) {
       MachineOwner place = share.machines().of().get(slot.room().machine);
       for (int i = 0; i < slot.tasks(); i++) {
