--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -314,9 +314,6 @@
         idle.add(seen);
       }
     }
-    if (!demandNow(now).isEmpty()) {
-      return;
-    }
     double keep = Constants.HEADROOM_SHARE * total;
     idle.sort(
         Comparator.comparingDouble(
@@ -325,7 +322,7 @@
       MachineView view = seen.view();
       double cpus = flavors.get(view.kind).cpus();
       boolean last = !view.spot && ordinaryInZone.getOrDefault(view.zone, 0) <= 1;
-      if (last || free - cpus < keep) {
+      if (last || free - cpus < keep || wantedRooms.contains(view.machine)) {
         continue;
       }
       free -= cpus;
@@ -338,6 +335,9 @@
 
   private final Map<String, Long> idleSince = new HashMap<>();
 
+  /** Machines on which what waits now could be placed; they are not returned. */
+  private final Set<String> wantedRooms = new HashSet<>();
+
   /** Views are only told when they change, so the time since is counted here. */
   private double idleFor(MachineView view, long now) {
     idleSince.keySet().removeIf(name -> roster.get(name) == null);
@@ -415,12 +415,16 @@
     List<Room> rooms = supply();
     Map<Pool, Integer> wanted = new LinkedHashMap<>();
     Planner planner = new Planner();
+    wantedRooms.clear();
     int machines = share.machines().of().size() + hires.values().stream().mapToInt(h -> h.number).sum();
     int most = settings.operators().maxMachines() - machines;
     for (DemandClass d : demandNow(now)) {
       Need need = need(d);
       Planner.Plan plan = planner.place(need, d.tasks, rooms, false);
       int left = d.tasks - (plan == null ? 0 : plan.tasks());
+      if (plan != null) {
+        plan.slots().forEach(slot -> wantedRooms.add(slot.room().machine));
+      }
       while (left > 0 && most > 0) {
         Pool pool = cheapest(need, left, rooms, wanted, now);
         if (pool == null) {
