--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -168,6 +168,12 @@
   /** Milliseconds a job that asked for preemption waits before it asks again. */
   public static final int PREEMPT_PAUSE_MS = 1_500;
 
+  /** Milliseconds a machine keeps room that was made for a job: stopping and the next plan fit in. */
+  public static final int KEEP_ROOM_MS = 2_500;
+
+  /** Seconds a stopped task gets to save; one that never saves ends at once. */
+  public static final int PREEMPT_GRACE_S = 10;
+
   // --- placement -----------------------------------------------------------------------------------------------
 
   /** Weight of the plan's cost against fitness; the design's starting value. */
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -29,14 +29,17 @@
 import org.sandford.peer.wire.ExitCause;
 import org.sandford.peer.wire.MachineState;
 import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.Preempt;
 import org.sandford.peer.wire.StartAnswer;
 import org.sandford.peer.wire.StartTask;
 import org.sandford.peer.wire.StopTask;
 import org.sandford.peer.wire.TaskState;
 import org.sandford.peer.wire.TaskView;
+import org.sandford.peer.wire.Victim;
 import org.sandford.peer.wire.Views;
 import org.sandford.placement.Need;
 import org.sandford.placement.Planner;
+import org.sandford.placement.Preemption;
 import org.sandford.placement.Room;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.MachineOwner;
@@ -71,6 +74,7 @@
   private final Map<String, Team> teams = new TreeMap<>();
   private final Map<String, Job> jobs = new HashMap<>();
   private final Map<String, Integer> linkRounds = new HashMap<>();
+  private final Map<String, Long> preempted = new HashMap<>();
   private boolean planning;
   private long plannedAt;
 
@@ -927,12 +931,105 @@
           hopeless.merge(like, need, Math::min);
         }
         job.waitsBecause(noRoom(need, job.spec));
+        preempt(team, job, count, rooms, whole);
         continue;
       }
       carryOut(team, job, plan);
     }
   }
 
+  /** Makes room where the users allow it; what is freed shows in later views and is planned then. */
+  private void preempt(Team team, Job job, int count, List<Room> rooms, boolean whole) {
+    if (job.preemptAgainAt > loop.millis()) {
+      return;
+    }
+    List<Preemption.Victim> victims = victims(team, job);
+    if (victims.isEmpty()) {
+      return;
+    }
+    List<Preemption.Eviction> evictions = Preemption.choose(job.need(), count, rooms, victims, whole);
+    if (evictions == null) {
+      return;
+    }
+    job.preemptAgainAt = loop.millis() + Constants.PREEMPT_PAUSE_MS;
+    JobSpec s = job.spec;
+    for (Preemption.Eviction eviction : evictions) {
+      Room room = eviction.room();
+      List<Victim> stop = new ArrayList<>();
+      for (Preemption.Victim v : eviction.victims()) {
+        stop.add(new Victim(v.job(), v.task(), v.attempt()));
+        preempted.put(v.job() + "/" + v.task() + "@" + v.attempt(), loop.millis());
+      }
+      int n = eviction.tasks();
+      room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
+      links.ask(
+          room.owner,
+          new Preempt(
+              team.name, room.machine, s.id(), s.rank().ordinal(), n * s.cpus(), n * s.gpus(), n * s.ram(),
+              stop, Constants.PREEMPT_GRACE_S));
+    }
+  }
+
+  /**
+   * Tasks that may be stopped for this job: those of lower rank, and, where the job lies within its
+   * team's guarantee, what other teams run beyond theirs. Services are left alone in the second case.
+   */
+  private List<Preemption.Victim> victims(Team team, Job job) {
+    preempted.values().removeIf(at -> loop.millis() - at > Constants.KEEP_ROOM_MS);
+    boolean guaranteed = withinGuarantee(team, job);
+    Map<String, Double> beyond = new HashMap<>();
+    List<TaskView> tasks = new ArrayList<>();
+    List<String> machines = new ArrayList<>();
+    for (Roster.Seen seen : roster.all()) {
+      if (!roster.current(seen) || seen.view().state != MachineState.UP) {
+        continue;
+      }
+      for (TaskView t : seen.view().tasks) {
+        boolean on = t.known && t.state != TaskState.EXITED;
+        if (on && !preempted.containsKey(t.job + "/" + t.task + "@" + t.attempt)) {
+          tasks.add(t);
+          machines.add(seen.view().machine);
+          beyond.merge(t.team, t.cpus, Double::sum);
+        }
+      }
+    }
+    settings.facts().teams().forEach((name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
+    List<Preemption.Victim> out = new ArrayList<>();
+    for (int i = 0; i < tasks.size(); i++) {
+      TaskView t = tasks.get(i);
+      boolean lower = t.rank > job.spec.rank().ordinal();
+      boolean borrowed =
+          guaranteed
+              && !t.team.equals(team.name)
+              && t.rank > JobSpec.Rank.PRODUCTION.ordinal()
+              && beyond.getOrDefault(t.team, 0.0) >= t.cpus;
+      if (lower || borrowed) {
+        if (!lower) {
+          beyond.merge(t.team, -t.cpus, Double::sum);
+        }
+        out.add(
+            new Preemption.Victim(
+                machines.get(i), t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram, t.ageS));
+      }
+    }
+    return out;
+  }
+
+  /** Whether the job fits its team's guarantee together with the team's earlier unfinished jobs. */
+  private static boolean withinGuarantee(Team team, Job job) {
+    double cpus = 0;
+    double gpus = 0;
+    for (Job other : team.jobs.values()) {
+      boolean earlier = other == job || other.acceptedAt < job.acceptedAt;
+      if (earlier && !other.phase().over()) {
+        int unfinished = other.spec.tasks() - other.doneCount;
+        cpus += unfinished * other.spec.cpus();
+        gpus += unfinished * other.spec.gpus();
+      }
+    }
+    return cpus <= team.limits.cpus() + Constants.EPSILON && gpus <= team.limits.gpus() + Constants.EPSILON;
+  }
+
   private static String noRoom(int tasks, JobSpec spec) {
     return String.format(
         "no machines have room for %d tasks of %.1f CPUs and %.1f GB at once", tasks, spec.cpus(), spec.ram());
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -36,6 +36,7 @@
 import org.sandford.peer.wire.StartTask;
 import org.sandford.peer.wire.StopTask;
 import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.Victim;
 import org.sandford.peer.wire.Views;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.MachineOwner;
@@ -243,6 +244,10 @@
         ram -= entry.ram;
       }
     }
+    double[] kept = machine.keptFrom(ask, loop.nanos());
+    cpus -= kept[0];
+    gpus -= kept[1];
+    ram -= kept[2];
     double e = Constants.EPSILON;
     return ask.cpus <= cpus + e && ask.gpus <= gpus + e && ask.ram <= ram + e ? null : "no room";
   }
@@ -255,8 +260,15 @@
 
   public void preempt(Preempt ask) {
     if (share.holdValid()) {
-      log.info("{}/{} on {} makes room for team {}", ask.job, ask.task, ask.machine, ask.team);
-      stop(ask.machine, new TaskKey(ask.job, ask.task), ask.attempt, ask.graceS);
+      Machine machine = machines.get(ask.machine);
+      if (machine == null) {
+        return;
+      }
+      machine.keepRoom(ask, loop.nanos());
+      for (Victim victim : ask.victims) {
+        log.info("{}/{} on {} makes room for {} of team {}", victim.job, victim.task, ask.machine, ask.forJob, ask.team);
+        stop(ask.machine, new TaskKey(victim.job, victim.task), victim.attempt, ask.graceS);
+      }
     }
   }
 
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -15,6 +15,7 @@
 import org.sandford.peer.wire.ExitCause;
 import org.sandford.peer.wire.MachineState;
 import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.Preempt;
 import org.sandford.peer.wire.StartTask;
 import org.sandford.peer.wire.TaskState;
 import org.sandford.peer.wire.TaskView;
@@ -94,6 +95,8 @@
   boolean leaseOver;
   final Map<Key, Entry> entries = new LinkedHashMap<>();
   final Set<String> images = new LinkedHashSet<>();
+  private Preempt kept;
+  private long keptUntil;
   private final Set<String> failedJobs = new HashSet<>();
 
   Machine(String name, MachineOwner place, long now) {
@@ -159,6 +162,20 @@
     return !place.seen() || leaseOver || (mine() && !superseded());
   }
 
+  /** Room was made for a job: without this, the task that was stopped could take it again. */
+  void keepRoom(Preempt ask, long now) {
+    kept = ask;
+    keptUntil = now + Constants.KEEP_ROOM_MS * 1_000_000L;
+  }
+
+  /** The CPUs, accelerators and memory that are kept from this start. */
+  double[] keptFrom(StartTask ask, long now) {
+    if (kept == null || now > keptUntil || ask.job.equals(kept.forJob) || ask.rank < kept.rank) {
+      return new double[3];
+    }
+    return new double[] {kept.cpus, kept.gpus, kept.ram};
+  }
+
   /** Accepts a start; it goes out with the next commands. */
   void accept(StartTask ask, long now) {
     Entry entry = new Entry(new Key(new TaskKey(ask.job, ask.task), ask.attempt), now);
@@ -171,6 +188,11 @@
     entry.ram = ask.ram;
     entry.image = ask.image;
     entries.put(entry.key, entry);
+    if (kept != null && kept.forJob.equals(ask.job)) {
+      kept.cpus = Math.max(0, kept.cpus - ask.cpus);
+      kept.gpus = Math.max(0, kept.gpus - ask.gpus);
+      kept.ram = Math.max(0, kept.ram - ask.ram);
+    }
   }
 
   /** Whether the message is older than what is known. */
