--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -102,6 +102,7 @@
   boolean dirty;
   boolean writing;
   boolean started;
+  boolean ranOnce;
   final RangeSet<Integer> done = TaskRanges.empty();
   final RangeSet<Integer> waiting = TaskRanges.empty();
   int doneCount;
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -386,6 +386,12 @@
     p.becomes(task.state == TaskState.RUNNING ? TaskPhase.RUNNING : p.phase() == TaskPhase.REQUESTED ? TaskPhase.PLACED : p.phase(), now);
     if (task.state == TaskState.RUNNING) {
       job.failuresInRow = 0;
+      if (!job.ranOnce && job.waitingCount == 0 && job.running() == job.spec.tasks() - job.doneCount) {
+        job.ranOnce = true;
+        log.debug(
+            "{} ({}) runs whole on {} after {} s", job.spec.id(), job.spec.jobClass(), view.machine,
+            (loop.wallMillis() - job.acceptedAt) / 1000.0);
+      }
     }
     if (job.phase() == Job.Phase.ABORTING) {
       stop(job, p, 0);
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -81,7 +81,9 @@
     List<Room> others = new ArrayList<>();
     for (Room room : rooms) {
       if (need.allows(room) && (zone.isEmpty() || zone.equals(room.zone)) && need.fitting(room) > 0) {
-        (room.own ? own : others).add(room);
+        // A service looks at all shares at once: a warm machine elsewhere starts it sooner than a cold
+        // one here.
+        (room.own || need.standing() ? own : others).add(room);
       }
     }
     Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
