--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -174,6 +174,9 @@
   /** Seconds a stopped task gets to save; one that never saves ends at once. */
   public static final int PREEMPT_GRACE_S = 10;
 
+  /** Milliseconds between two replicas that one controller moves: each is down for a moment. */
+  public static final int MOVE_REPLICA_MS = 1_500;
+
   // --- placement -----------------------------------------------------------------------------------------------
 
   /** Weight of the plan's cost against fitness; the design's starting value. */
@@ -232,6 +235,15 @@
   /** Seconds an empty machine is kept: a return is paid for 60 s at the least, and work comes in waves. */
   public static final double IDLE_RETURN_S = 45.0;
 
+  /** Milliseconds a machine may take to become empty before it is kept after all. */
+  public static final int VACATE_MS = 60_000;
+
+  /** Machines being emptied at once: the others must hold what moves. */
+  public static final int VACATED_AT_ONCE = 2;
+
+  /** Share of its processors in use below which emptying a machine may pay. */
+  public static final double VACATE_BELOW = 0.5;
+
   /** Share of the fleet's processors kept free for work that may not wait. */
   public static final double HEADROOM_SHARE = 0.08;
 
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -24,6 +24,7 @@
 import org.sandford.peer.wire.Release;
 import org.sandford.peer.wire.TaskState;
 import org.sandford.peer.wire.TaskView;
+import org.sandford.peer.wire.Vacate;
 import org.sandford.placement.Need;
 import org.sandford.placement.Planner;
 import org.sandford.placement.Room;
@@ -73,6 +74,8 @@
   private final Map<String, Long> movedAt = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
   private final Set<String> doomed = new HashSet<>();
+  private final Map<String, Long> vacatingSince = new HashMap<>();
+  private final Map<String, Long> keptAt = new HashMap<>();
   private boolean listing;
   private long listedAt = Long.MIN_VALUE / 2;
   private long troubleUntil;
@@ -156,6 +159,7 @@
       rent(now);
     }
     returnIdle(now);
+    vacate(now);
   }
 
   // --- the list ----------------------------------------------------------------------------------------
@@ -310,7 +314,7 @@
       }
       boolean empty = view.tasks.stream().allMatch(t -> t.state == TaskState.EXITED);
       long told = doomed.contains(view.machine) ? 1 : 0;
-      if (empty && told == 0 && idleFor(view, now) > settings.operators().idleReturnS()) {
+      if (empty && told == 0 && (view.vacating || idleFor(view, now) > settings.operators().idleReturnS())) {
         idle.add(seen);
       }
     }
@@ -349,6 +353,117 @@
     return (now - idleSince.computeIfAbsent(view.machine, m -> now)) / 1000.0;
   }
 
+  /**
+   * Empties machines whose work fits on the others: services stay for long, and a fleet that grew for
+   * a burst would be kept for a few of them on each machine.
+   */
+  private void vacate(long now) {
+    vacatingSince.keySet().removeIf(name -> roster.get(name) == null || !roster.get(name).view().vacating);
+    Map<String, Integer> ordinaryInZone = new HashMap<>();
+    List<Roster.Seen> candidates = new ArrayList<>();
+    Map<String, Room> rooms = new LinkedHashMap<>();
+    int vacating = 0;
+    double total = 0;
+    for (Roster.Seen seen : roster.all()) {
+      MachineView view = seen.view();
+      Flavor flavor = flavors.get(view.kind);
+      if (view.state != MachineState.UP || flavor == null || view.faulty || !roster.current(seen)) {
+        continue;
+      }
+      if (view.vacating) {
+        vacating++;
+        if (now - vacatingSince.computeIfAbsent(view.machine, m -> now) > Constants.VACATE_MS) {
+          links.ask(seen.owner(), new Vacate(view.machine, false));
+          keptAt.put(view.machine, now);
+        }
+        continue;
+      }
+      Room room = room(view.machine, view.kind, view.zone, view.spot);
+      double used = 0;
+      for (TaskView t : view.tasks) {
+        if (t.state != TaskState.EXITED) {
+          room.take(t.cpus, t.gpus, t.ram);
+          used += t.cpus;
+        }
+      }
+      rooms.put(view.machine, room);
+      total += room.cpus;
+      if (!view.spot) {
+        ordinaryInZone.merge(view.zone, 1, Integer::sum);
+      }
+      boolean light = used > 0 && used <= room.cpus * Constants.VACATE_BELOW;
+      if (light && now - keptAt.getOrDefault(view.machine, -1_000_000L) > 2L * Constants.VACATE_MS) {
+        candidates.add(seen);
+      }
+    }
+    keptAt.keySet().removeIf(name -> roster.get(name) == null);
+    if (vacating >= Constants.VACATED_AT_ONCE || !demandNow(now).isEmpty() || !hires.isEmpty()) {
+      return;
+    }
+    candidates.sort(
+        Comparator.comparingDouble(
+            (Roster.Seen s) -> {
+              Room room = rooms.get(s.view().machine);
+              return -price(flavors.get(room.kind), room.spot) / (room.cpus - room.freeCpus);
+            }));
+    for (Roster.Seen seen : candidates) {
+      MachineView view = seen.view();
+      boolean last = !view.spot && ordinaryInZone.get(view.zone) <= 1;
+      if (!last && fitsElsewhere(view, rooms, total)) {
+        vacatingSince.put(view.machine, now);
+        links.ask(seen.owner(), new Vacate(view.machine, true));
+        return;
+      }
+    }
+  }
+
+  /** Whether the machine's tasks fit on the others, in their zone, with the headroom left. */
+  private boolean fitsElsewhere(MachineView view, Map<String, Room> rooms, double total) {
+    Map<String, double[]> free = new LinkedHashMap<>();
+    double freeCpus = 0;
+    for (Room room : rooms.values()) {
+      if (!room.machine.equals(view.machine)) {
+        freeCpus += room.freeCpus;
+        if (room.zone.equals(view.zone) && (view.spot || !room.spot)) {
+          free.put(room.machine, new double[] {room.freeCpus, room.freeGpus, room.freeRam});
+        }
+      }
+    }
+    double e = Constants.EPSILON;
+    for (TaskView t : view.tasks) {
+      if (t.state == TaskState.EXITED) {
+        continue;
+      }
+      boolean found = false;
+      for (double[] f : free.values()) {
+        if (t.cpus <= f[0] + e && t.gpus <= f[1] + e && t.ram <= f[2] + e) {
+          f[0] -= t.cpus;
+          f[1] -= t.gpus;
+          f[2] -= t.ram;
+          freeCpus -= t.cpus;
+          found = true;
+          break;
+        }
+      }
+      if (!found) {
+        return false;
+      }
+    }
+    return freeCpus >= Constants.HEADROOM_SHARE * (total - rooms.get(view.machine).cpus);
+  }
+
+  /** Machines that are being emptied serve again; sooner and cheaper than new ones. */
+  private boolean keepVacating() {
+    boolean any = false;
+    for (Roster.Seen seen : roster.all()) {
+      if (seen.view().vacating && seen.view().state == MachineState.UP && roster.current(seen)) {
+        links.ask(seen.owner(), new Vacate(seen.view().machine, false));
+        any = true;
+      }
+    }
+    return any;
+  }
+
   // --- renting -----------------------------------------------------------------------------------------------
 
   private static double price(Flavor flavor, boolean spot) {
@@ -381,7 +496,7 @@
       if (place.seen() && seen != null) {
         MachineView view = seen.view();
         boolean serves = view.state == MachineState.UP || view.state == MachineState.SYNCING;
-        if (!serves || view.faulty) {
+        if (!serves || view.faulty || view.vacating) {
           continue;
         }
         for (TaskView t : view.tasks) {
@@ -454,6 +569,9 @@
         wanted.merge(pool, 1, Integer::sum);
       }
     }
+    if (!wanted.isEmpty() && keepVacating()) {
+      return;
+    }
     wanted.forEach((pool, number) -> hire(pool, Math.min(number, Constants.HIRE_MOST), now));
   }
 
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -28,6 +28,7 @@
 import org.sandford.peer.wire.StopTask;
 import org.sandford.peer.wire.UserAnswer;
 import org.sandford.peer.wire.UserCall;
+import org.sandford.peer.wire.Vacate;
 import org.sandford.peer.wire.Views;
 import org.sandford.peer.wire.Yield;
 import org.sandford.peer.wire.Yielded;
@@ -167,6 +168,8 @@
       fleet.claim(claim, answer);
     } else if (message instanceof Release ask) {
       fleet.release(ask);
+    } else if (message instanceof Vacate ask) {
+      fleet.vacate(ask);
     } else if (message instanceof Yield ask) {
       if (jobs.yieldTeam(ask.team, ask.generation)) {
         answer.accept(new Yielded(ask.team, ask.generation));
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -221,10 +221,15 @@
   }
 
   Need need() {
+    return needWithout(null);
+  }
+
+  /** What its tasks need if one of them were not where it is. */
+  Need needWithout(Placed left) {
     Map<String, Integer> zones = new HashMap<>();
     Set<String> machines = new HashSet<>();
     for (Placed p : placed.values()) {
-      if (p.phase != TaskPhase.FINISHED) {
+      if (p.phase != TaskPhase.FINISHED && p != left) {
         zones.merge(p.zone, 1, Integer::sum);
         machines.add(p.machine);
       }
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -76,6 +76,7 @@
   private final Map<String, Integer> linkRounds = new HashMap<>();
   private final Map<String, Long> preempted = new HashMap<>();
   private boolean planning;
+  private long moveAgainAt;
   private long plannedAt;
 
   public Jobs(
@@ -903,6 +904,7 @@
     }
     List<Job> queue = queue();
     if (queue.isEmpty()) {
+      moveReplica();
       return;
     }
     List<Room> rooms = rooms();
@@ -944,6 +946,47 @@
     }
   }
 
+  /**
+   * Moves one replica off a machine that is to be emptied, if a machine with its image has room for it.
+   * One at a time: its job is short of it until it runs again.
+   */
+  private void moveReplica() {
+    long now = loop.millis();
+    if (now < moveAgainAt) {
+      return;
+    }
+    List<Room> rooms = null;
+    for (Roster.Seen seen : roster.all()) {
+      MachineView view = seen.view();
+      if (!view.vacating || view.state != MachineState.UP || !roster.current(seen)) {
+        continue;
+      }
+      for (TaskView t : view.tasks) {
+        Job job = jobs.get(t.job);
+        Placed p = job == null ? null : job.placed.get(t.task);
+        boolean movable =
+            p != null
+                && p.attempt == t.attempt
+                && job.spec.standing()
+                && job.phase() == Job.Phase.OPEN
+                && job.waitingCount == 0
+                && job.running() == job.spec.tasks();
+        if (!movable) {
+          continue;
+        }
+        rooms = rooms == null ? rooms() : rooms;
+        String image = job.spec.image();
+        List<Room> warm = rooms.stream().filter(r -> r.images.contains(image)).toList();
+        if (planner.place(job.needWithout(p), 1, warm, true) != null) {
+          log.info("{}/{} moves off machine {}", job.spec.id(), p.task, view.machine);
+          moveAgainAt = now + Constants.MOVE_REPLICA_MS;
+          stop(job, p, Constants.PREEMPT_GRACE_S);
+          return;
+        }
+      }
+    }
+  }
+
   /** Makes room where the users allow it; what is freed shows in later views and is planned then. */
   private void preempt(Team team, Job job, int count, List<Room> rooms, boolean whole) {
     if (job.preemptAgainAt > loop.millis()) {
@@ -1081,6 +1124,7 @@
       boolean usable =
           view.state == MachineState.UP
               && !view.faulty
+              && !view.vacating
               && flavor != null
               && roster.current(seen)
               && share.machines().of().get(view.machine).seen()
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -36,6 +36,7 @@
 import org.sandford.peer.wire.StartTask;
 import org.sandford.peer.wire.StopTask;
 import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.Vacate;
 import org.sandford.peer.wire.Victim;
 import org.sandford.peer.wire.Views;
 import org.sandford.settings.Settings;
@@ -221,7 +222,7 @@
     if (machine == null || machine.place.generation() != ask.machineGeneration) {
       return "not a machine of this share";
     }
-    if (machine.state() != MachineState.UP || machine.faulty || !machine.place.seen() || !machine.mine()) {
+    if (machine.state() != MachineState.UP || machine.faulty || machine.vacating || !machine.place.seen() || !machine.mine()) {
       return "the machine is " + machine.state();
     }
     if (isFinal.test(ask.job)) {
@@ -314,6 +315,15 @@
     publish();
   }
 
+  public void vacate(Vacate ask) {
+    Machine machine = machines.get(ask.machine);
+    if (machine != null && machine.vacating != ask.on) {
+      machine.vacating = ask.on;
+      log.info("machine {} ({}) {}", machine.name, machine.place.zone(), ask.on ? "is to be emptied" : "is kept");
+      mark(machine);
+    }
+  }
+
   /** A job's final state is stored: whatever of it is still here has to go. */
   public void finalSeen(String job) {
     specs.remove(job);
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -89,6 +89,7 @@
   long idleSince;
   double noticeS = Double.NaN;
   boolean faulty;
+  boolean vacating;
   boolean busyDirect;
   int directFailures;
   long syncTriedAt = Long.MIN_VALUE / 2;
@@ -391,6 +392,7 @@
         new ArrayList<>(images),
         idleSince == 0 ? 0 : (now - idleSince) / 1e9,
         faulty,
-        settled());
+        settled(),
+        vacating);
   }
 }
