Overdue workers are asked and given back at once when silent

Cause: services on machines that hang or are cut off came back only 8 to 9 s later: 7 s of silence, then up to a second of ticks. Ruled out: takeover (services keep running through controller crashes).

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -121,9 +121,18 @@
 
   // --- workers ------------------------------------------------------------------------------------------
 
-  /** Report periods of silence after which a machine counts as lost and is given back. */
+  /** Report periods of silence after which a machine counts as lost in any case. */
   public static final double LOST_PERIODS = 3.5;
 
+  /** Times the report period that may lie between two reports by the protocol. */
+  public static final double REPORT_SPREAD = 1.25;
+
+  /** Seconds beyond that after which a report is overdue and its worker is asked. */
+  public static final double OVERDUE_S = 0.7;
+
+  /** Milliseconds waited for a worker that is asked because its report is overdue. */
+  public static final int PROBE_CALL_MS = 1_000;
+
   /** Milliseconds waited for a worker's answer to direct commands. */
   public static final int COMMAND_CALL_MS = 1_500;
 
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -246,6 +246,7 @@
       }
     }
     int faulty = 0;
+    List<String> lost = new ArrayList<>();
     for (Roster.Seen seen : roster.all()) {
       MachineView view = seen.view();
       if (!roster.current(seen)) {
@@ -268,12 +269,14 @@
           continue;
         }
         links.ask(seen.owner(), new Release(view.machine, true));
+        lost.add(view.machine);
       } else if (view.faulty && view.state == MachineState.UP && faulty < Constants.FAULTY_RETURNED_AT_ONCE) {
         faulty++;
         links.ask(seen.owner(), new Release(view.machine, true));
       }
     }
     movedAt.values().removeIf(at -> now - at > 120_000);
+    giveBack(lost);
   }
 
   private String otherOwner(String label) {
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -621,17 +621,18 @@
 
   private void tick() {
     long now = loop.nanos();
+    double overdue = settings.facts().reportS() * Constants.REPORT_SPREAD + Constants.OVERDUE_S;
     double lostAfter = settings.facts().reportS() * Constants.LOST_PERIODS;
     for (Machine machine : machines.values()) {
       double silent = (now - machine.heardAt) / 1e9;
-      boolean expected = machine.place.seen();
-      if (expected
-          && silent > lostAfter
-          && machine.state() != MachineState.LOST
-          && machine.state() != MachineState.RELEASED) {
-        machine.dropQueued();
-        machine.becomes(MachineState.LOST, String.format("silent for %.1f s", silent));
-        mark(machine);
+      boolean expected =
+          machine.place.seen()
+              && machine.state() != MachineState.LOST
+              && machine.state() != MachineState.RELEASED;
+      if (expected && silent > lostAfter) {
+        lose(machine, silent);
+      } else if (expected && silent > overdue) {
+        probe(machine);
       }
       if (machine.state() == MachineState.LOST && !machine.leaseOver && leaseOver(machine, now)) {
         log.info("machine {} ({}): its lease is over, and with it its tasks", machine.name, machine.place.zone());
@@ -647,6 +648,43 @@
     announced.values().removeIf(at -> now - at > 60_000_000_000L);
   }
 
+  private void lose(Machine machine, double silent) {
+    machine.dropQueued();
+    machine.becomes(MachineState.LOST, String.format("silent for %.1f s", silent));
+    mark(machine);
+  }
+
+  /** Asks a worker whose report is overdue; one that does not answer this either counts as lost. */
+  private void probe(Machine machine) {
+    if (machine.probing) {
+      return;
+    }
+    machine.probing = true;
+    long askedAt = loop.nanos();
+    http.send(
+        machine.place.address(),
+        "GET",
+        "/show",
+        null,
+        Constants.PROBE_CALL_MS,
+        reply -> {
+          machine.probing = false;
+          if (!alive(machine)) {
+            return;
+          }
+          WorkerReport said = WorkerReport.read(Json.read(reply.body()));
+          if (reply.ok() && said != null) {
+            if (!machine.stale(said)) {
+              take(machine, said, false);
+            }
+          } else if (machine.heardAt < askedAt
+              && machine.state() != MachineState.LOST
+              && machine.state() != MachineState.RELEASED) {
+            lose(machine, (loop.nanos() - machine.heardAt) / 1e9);
+          }
+        });
+  }
+
   /**
    * Whether the worker must have killed its tasks by now. It counts from the report that was last
    * answered; one that has not seen this owner's token may have been answered by the former owner for
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -89,6 +89,7 @@
   long idleSince;
   double noticeS = Double.NaN;
   boolean faulty;
+  boolean probing;
   boolean vacating;
   boolean busyDirect;
   int directFailures;
