--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -912,9 +912,11 @@
     for (Job job : queue) {
       Team team = teams.get(job.spec.team());
       int allowed = team.allowed(job.spec.cpus(), job.spec.gpus());
-      boolean whole = team.fitsWhole(job.spec) && !job.started;
       int count = Math.min(job.waitingCount, allowed);
-      if (count == 0 || (whole && count < job.waitingCount)) {
+      // What the team's limit does not allow now is planned in parts: a whole job that waits for the
+      // limit is starved by the parts of larger ones, which take each place as it falls free.
+      boolean whole = !job.started && count == job.waitingCount;
+      if (count == 0) {
         job.waitsBecause(
             String.format(
                 "team %s has room for %d more tasks of %.1f CPUs within its limit of %.1f, and %d wait",
--- a/src/main/java/org/sandford/job/Team.java
+++ b/src/main/java/org/sandford/job/Team.java
@@ -104,21 +104,4 @@
     }
     return (int) Math.max(0, Math.floor(most));
   }
-
-  /**
-   * Whether all tasks of the job may ever run at once by the team's limit. What the team's services
-   * hold counts: they run until they are cancelled, so an array that needs their part of the limit
-   * would wait for ever.
-   */
-  boolean fitsWhole(JobSpec spec) {
-    double cpus = spec.tasks() * spec.cpus();
-    double gpus = spec.tasks() * spec.gpus();
-    for (Job job : jobs.values()) {
-      if (job.spec.standing() && !job.spec.id().equals(spec.id())) {
-        cpus += job.spec.tasks() * job.spec.cpus();
-        gpus += job.spec.tasks() * job.spec.gpus();
-      }
-    }
-    return cpus <= limits.cpusMax() + Constants.EPSILON && gpus <= limits.gpusMax() + Constants.EPSILON;
-  }
 }
