Work that may use spot machines prefers them

Cause: arrays were packed onto the ordinary machines of services, which therefore never emptied while cheaper spot machines went back.

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -203,6 +203,12 @@
    */
   public static final double COST_FETCH = 2.0;
 
+  /**
+   * Cost, for work that may use spot machines, of an ordinary one: it is left to services, so that it
+   * can be emptied and given back. Not in the design, which knows no prices.
+   */
+  public static final double COST_ORDINARY = 2.0;
+
   /** Amounts closer than this are equal: sums of decimal amounts are not exact. */
   public static final double EPSILON = 1e-6;
 
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -161,6 +161,9 @@
     if (need.standing() && !room.images.contains(need.image())) {
       cost += Constants.COST_FETCH;
     }
+    if (need.reclaimable() && !room.spot) {
+      cost += Constants.COST_ORDINARY;
+    }
     boolean byGpu = room.gpus > 0 && need.gpus() > 0;
     double total = byGpu ? room.gpus : room.cpus;
     double requested = byGpu ? need.gpus() : need.cpus();
