--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -247,8 +247,8 @@
   /** Seconds added to that: short boot times vary more. */
   public static final double BOOT_PATIENCE_S = 20.0;
 
-  /** Seconds an empty machine is kept: a return is paid for 60 s at the least, and work comes in waves. */
-  public static final double IDLE_RETURN_S = 45.0;
+  /** Seconds an empty machine is kept: less than a boot, since keeping it longer costs more than a new one. */
+  public static final double IDLE_RETURN_S = 18.0;
 
   /** Milliseconds a machine may take to become empty before it is kept after all. */
   public static final int VACATE_MS = 60_000;
