--- /dev/null
+++ b/src/test/java/org/sandford/api/JobParserTest.java
@@ -0,0 +1,81 @@
+package org.sandford.api;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.sandford.cloud.Flavor;
+import org.sandford.core.Json;
+import org.sandford.job.JobSpec;
+import org.sandford.settings.Settings;
+
+class JobParserTest {
+  private static final Map<String, Settings.Team> TEAMS = Map.of("red", new Settings.Team("red", 8, 16, 0, 0));
+  private static final Map<String, Flavor> FLAVORS =
+      Map.of("m8", new Flavor("m8", 8, 0, 64, 1, 0.5, 10, 1, List.of("a", "b")));
+
+  private static ObjectNode good() {
+    return (ObjectNode)
+        Json.read(
+            """
+            {"name_id":"wk-000412","job_class":"train","owner":"red","shape":"array","rank":"urgent","pieces":16,
+             "vcpus":8.0,"accelerators":0.0,"ram_gb":64.0,"build":"img-07","image_gb":6.2,"machine_kinds":["m8"],
+             "site":null,"together":true,"scatter":false,"reclaimable":true,"expected_s":240.0,"save_every_s":30.0,
+             "save_cost_s":4.0,"due_s":900.0,"unheard_of":[1]}
+            """);
+  }
+
+  private static JobParser.Refused refused(ObjectNode body) {
+    return assertThrows(JobParser.Refused.class, () -> JobParser.checkRunnable(JobParser.parse(body), TEAMS, FLAVORS));
+  }
+
+  @Test
+  void aGoodJobIsReadAndSurvivesItsRecord() throws Exception {
+    JobSpec spec = JobParser.parse(good());
+    JobParser.checkRunnable(spec, TEAMS, FLAVORS);
+    assertEquals(JobSpec.Rank.URGENT, spec.rank());
+    assertEquals(spec, JobSpec.read(spec.id(), spec.json()));
+  }
+
+  @Test
+  void whatMayBeNullMayBeMissing() throws Exception {
+    ObjectNode body = good();
+    body.remove(List.of("machine_kinds", "site", "due_s"));
+    assertEquals("", JobParser.parse(body).zone());
+  }
+
+  @Test
+  void malformedJobsGet400WithTheFieldNamed() {
+    for (String field : List.of("name_id", "job_class", "owner", "shape", "rank", "pieces", "vcpus", "accelerators",
+        "ram_gb", "build", "image_gb", "together", "scatter", "reclaimable", "expected_s", "save_every_s", "save_cost_s")) {
+      ObjectNode missing = good();
+      missing.remove(field);
+      assertEquals(400, refused(missing).status, field);
+      assertTrue(refused(missing).getMessage().contains(field), field);
+      ObjectNode typed = good();
+      typed.putArray(field);
+      assertEquals(400, refused(typed).status, field);
+    }
+    assertEquals(400, refused(good().put("pieces", 0)).status);
+    assertEquals(400, refused(good().put("pieces", 100_001)).status);
+    assertEquals(400, refused(good().put("pieces", 1.5)).status);
+    assertEquals(400, refused(good().put("vcpus", -1)).status);
+    assertEquals(400, refused(good().put("name_id", "job-1")).status);
+    assertEquals(400, refused(good().put("rank", "royal")).status);
+  }
+
+  @Test
+  void whatCanNeverRunGets422() {
+    assertEquals(422, refused(good().put("owner", "nobody")).status);
+    assertEquals(422, refused(good().put("vcpus", 9.0)).status);
+    assertEquals(422, refused(good().put("site", "nowhere")).status);
+    assertEquals(422, refused(good().put("shape", "standing")).status);
+    ObjectNode kinds = good();
+    kinds.putArray("machine_kinds").add("g8");
+    assertEquals(422, refused(kinds).status);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/peer/FrameCodecTest.java
@@ -0,0 +1,39 @@
+package org.sandford.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.sandford.peer.wire.Claim;
+import org.sandford.peer.wire.Hello;
+
+class FrameCodecTest {
+  private final FrameCodec codec = new FrameCodec();
+
+  @Test
+  void aMessageComesBackAsItWas() throws IOException {
+    Hello hello = new Hello("c0", 3L, 9L, FrameCodec.SCHEMA);
+    assertEquals(hello, codec.decode(codec.encode(hello)));
+    assertEquals(new Claim("red", 7L), codec.decode(codec.encode(new Claim("red", 7L))));
+  }
+
+  @Test
+  void brokenFramesAreRefusedAndNothingElse() {
+    byte[] good = codec.encode(new Claim("red", 7L));
+    assertThrows(IOException.class, () -> codec.decode(Arrays.copyOf(good, good.length - 1)));
+    assertThrows(IOException.class, () -> codec.decode(Arrays.copyOf(good, good.length + 1)));
+    Random random = new Random(1);
+    for (int i = 0; i < 500; i++) {
+      byte[] noise = new byte[random.nextInt(40)];
+      random.nextBytes(noise);
+      try {
+        codec.decode(noise);
+      } catch (IOException expected) {
+        // The only way a frame may be refused.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/placement/PlannerTest.java
@@ -0,0 +1,95 @@
+package org.sandford.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PlannerTest {
+  private static Room room(String name, String zone, double cpus, double used, boolean own) {
+    Room room = new Room(name, "c0", "m", zone, false, own, cpus, 0, 64);
+    room.take(used, 0, 0);
+    return room;
+  }
+
+  private static Need need(double cpus, int total, boolean scatter, boolean together, boolean standing) {
+    return new Need(
+        cpus, 0, 1, Set.of(), "", false, together, scatter, standing, total, Map.of(), Set.of(), Set.of(), "i");
+  }
+
+  @Test
+  void noPlanBreaksRoomScatterOrTogether() {
+    for (int seed = 0; seed < 400; seed++) {
+      Random random = new Random(seed);
+      List<Room> rooms = new ArrayList<>();
+      Map<String, Double> freeBefore = new HashMap<>();
+      for (int i = 0; i < 1 + random.nextInt(12); i++) {
+        double cpus = 1 + random.nextInt(16);
+        Room room = room("n" + i, "z" + random.nextInt(3), cpus, random.nextInt((int) cpus + 1), random.nextBoolean());
+        rooms.add(room);
+        freeBefore.put(room.machine, room.freeCpus);
+      }
+      boolean scatter = random.nextBoolean();
+      int tasks = 1 + random.nextInt(20);
+      Need need = need(1 + random.nextInt(4), tasks, scatter, !scatter && random.nextBoolean(), random.nextBoolean());
+      boolean whole = random.nextBoolean();
+      Planner.Plan plan = new Planner().place(need, tasks, rooms, whole);
+      if (plan == null) {
+        rooms.forEach(r -> assertEquals(freeBefore.get(r.machine), r.freeCpus, "a plan that failed took room"));
+        continue;
+      }
+      Map<String, Integer> zones = new HashMap<>();
+      plan.slots().forEach(s -> zones.merge(s.room().zone, s.tasks(), Integer::sum));
+      int placed = plan.slots().stream().mapToInt(Planner.Slot::tasks).sum();
+      assertEquals(plan.tasks(), placed);
+      assertTrue(placed <= tasks && (!whole || placed == tasks), "seed " + seed);
+      rooms.forEach(r -> assertTrue(r.freeCpus > -1e-6 && r.freeRam > -1e-6, "room of " + r.machine));
+      zones.values().forEach(n -> assertTrue(n <= need.scatterLimit(), "scatter, seed " + seed));
+      assertTrue(!need.together() || zones.size() == 1, "together, seed " + seed);
+    }
+  }
+
+  @Test
+  void withoutAPlaceForAllNoneStart() {
+    assertNull(new Planner().place(need(4, 3, false, false, false), 3, List.of(room("n0", "a", 8, 0, true)), true));
+    assertNotNull(new Planner().place(need(4, 2, false, false, false), 2, List.of(room("n0", "a", 8, 0, true)), true));
+  }
+
+  @Test
+  void theFullerMachineScoresLower() {
+    Room fuller = room("fuller", "a", 16, 8, true);
+    Planner.Plan plan =
+        new Planner().place(need(2, 1, false, false, false), 1, List.of(room("empty", "a", 16, 0, true), fuller), true);
+    assertEquals("fuller", plan.slots().get(0).room().machine);
+  }
+
+  @Test
+  void theOwnShareComesFirst() {
+    Planner.Plan plan =
+        new Planner()
+            .place(
+                need(2, 1, false, false, false), 1,
+                List.of(room("other", "a", 16, 8, false), room("own", "a", 16, 0, true)), true);
+    assertEquals("own", plan.slots().get(0).room().machine);
+  }
+
+  @Test
+  void theCostOfADecisionGrowsWithMachinesAndNotWithTasks() {
+    List<Room> rooms = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      rooms.add(new Room("n" + i, "c0", "m", "z" + i % 3, false, true, 10_000, 0, 1e9));
+    }
+    Planner planner = new Planner();
+    Planner.Plan plan = planner.place(need(1, 100_000, false, false, false), 100_000, rooms, true);
+    assertEquals(100_000, plan.tasks());
+    assertTrue(planner.scored() <= 40L * 40, "scored " + planner.scored() + " candidates");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/settings/SettingsLoaderTest.java
@@ -0,0 +1,100 @@
+package org.sandford.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class SettingsLoaderTest {
+  private static final String GOOD =
+      """
+      label = "c0"
+      zone = "a"
+      listen = "10.0.0.1:8080"
+      peer_listen = "10.0.0.1:8081"
+      not_known = 7
+      [[others]]
+      label = "c1"
+      zone = "b"
+      address = "10.0.0.2:8081"
+      [services]
+      cloud = "10.2.0.2:8443"
+      state = "10.2.0.1:2379"
+      [facts]
+      zones = ["a", "b"]
+      [[facts.teams]]
+      name = "red"
+      cpus = 8.0
+      cpus_max = 16.0
+      [facts.workers]
+      report_s = 2.0
+      lease_s = 16.0
+      cancel_s = 46.0
+      [facts.state]
+      rps = 250.0
+      write_rps = 50.0
+      value_kb = 16.0
+      txn_ops = 24
+      [facts.cloud]
+      rps = 2.0
+      [facts.machine_limits]
+      sockets = 900
+      """;
+
+  @TempDir Path dir;
+
+  private Path file(String name, String text) throws IOException {
+    return Files.writeString(dir.resolve(name), text);
+  }
+
+  private String complaint(String toml) throws IOException {
+    Path file = file("s.toml", toml);
+    return assertThrows(SettingsException.class, () -> SettingsLoader.load(file, null)).getMessage();
+  }
+
+  @Test
+  void goodSettingsAreReadAndUnknownTomlIsIgnored() throws Exception {
+    Settings settings = SettingsLoader.load(file("s.toml", GOOD), null);
+    assertEquals("c0", settings.label());
+    assertEquals(16 * 1024, settings.facts().stateValueBytes());
+    assertEquals(16.0, settings.facts().teams().get("red").cpusMax());
+    assertEquals("10.0.0.2:8081", settings.others().get(0).address().toString());
+    assertTrue(settings.operators().useSpot());
+  }
+
+  @Test
+  void complaintsNameFileKeyAndWhatIsExpected() throws IOException {
+    String missing = complaint(GOOD.replace("label = \"c0\"\n", ""));
+    assertTrue(missing.contains("s.toml: label: expected"), missing);
+    String typed = complaint(GOOD.replace("lease_s = 16.0", "lease_s = \"x\""));
+    assertTrue(typed.contains("facts.workers.lease_s: expected a number"), typed);
+    String address = complaint(GOOD.replace("10.0.0.2:8081", "nowhere"));
+    assertTrue(address.contains("others[0].address: expected an address"), address);
+    String order = complaint(GOOD.replace("cancel_s = 46.0", "cancel_s = 10.0"));
+    assertTrue(order.contains("facts.workers.cancel_s: expected more"), order);
+    String broken = complaint("label = ");
+    assertTrue(broken.contains("not TOML"), broken);
+    assertFalse(broken.contains("\n"), broken);
+  }
+
+  @Test
+  void operatorsSettingsAreCheckedAndUnknownKeysRefused() throws Exception {
+    Path toml = file("s.toml", GOOD);
+    Path good = file("o.ini", "[fleet]\nmax_machines = 12\nuse_spot = false\n");
+    Settings settings = SettingsLoader.load(toml, good);
+    assertEquals(12, settings.operators().maxMachines());
+    assertFalse(settings.operators().useSpot());
+    Path unknown = file("u.ini", "[fleet]\nmax_machine = 12\n");
+    String message = assertThrows(SettingsException.class, () -> SettingsLoader.load(toml, unknown)).getMessage();
+    assertTrue(message.contains("fleet.max_machine: unknown key"), message);
+    Path wrong = file("w.ini", "[fleet]\nuse_spot = perhaps\n");
+    String value = assertThrows(SettingsException.class, () -> SettingsLoader.load(toml, wrong)).getMessage();
+    assertTrue(value.contains("fleet.use_spot: expected true or false"), value);
+  }
+}
