--- a/src/test/java/org/sandford/placement/PlannerTest.java
+++ b/src/test/java/org/sandford/placement/PlannerTest.java
@@ -52,7 +52,9 @@
       assertEquals(plan.tasks(), placed);
       assertTrue(placed <= tasks && (!whole || placed == tasks), "seed " + seed);
       rooms.forEach(r -> assertTrue(r.freeCpus > -1e-6 && r.freeRam > -1e-6, "room of " + r.machine));
-      zones.values().forEach(n -> assertTrue(n <= need.scatterLimit(), "scatter, seed " + seed));
+      for (int inZone : zones.values()) {
+        assertTrue(inZone <= need.scatterLimit(), "scatter, seed " + seed);
+      }
       assertTrue(!need.together() || zones.size() == 1, "together, seed " + seed);
     }
   }
