--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -238,6 +238,9 @@
   /** Items in one page of the machine list, the protocol's most. */
   public static final int LIST_PAGE = 500;
 
+  /** Milliseconds before a return that was not answered is asked for again. */
+  public static final int RETURN_RETRY_MS = 1_500;
+
   /** Milliseconds a pool without capacity is left alone. */
   public static final int POOL_PAUSE_MS = 12_000;
 
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -73,7 +73,6 @@
   private final Map<String, Long> removedAt = new HashMap<>();
   private final Map<String, Long> movedAt = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
-  private final Set<String> doomed = new HashSet<>();
   private final Map<String, Long> vacatingSince = new HashMap<>();
   private final Map<String, Long> keptAt = new HashMap<>();
   private boolean listing;
@@ -82,6 +81,7 @@
   private boolean readingFlavors;
   private long flavorsAt = Long.MIN_VALUE / 2;
   private boolean led;
+  private boolean cloudWorks;
 
   public Capacity(
       Loop loop,
@@ -158,8 +158,11 @@
     if (!flavors.isEmpty() && now >= troubleUntil) {
       rent(now);
     }
-    returnIdle(now);
-    vacate(now);
+    if (cloudWorks) {
+      // A released machine serves nobody, so none is while the cloud could not take it.
+      returnIdle(now);
+      vacate(now);
+    }
   }
 
   // --- the list ----------------------------------------------------------------------------------------
@@ -169,6 +172,7 @@
     cloud.list(
         listed -> {
           listing = false;
+          cloudWorks = listed != null;
           listedAt = loop.millis();
           if (listed != null && share.leads()) {
             listed.forEach(this::takeListed);
@@ -210,13 +214,15 @@
     cloud.giveBack(
         now,
         gone -> {
-          now.forEach(returning::remove);
-          if (gone) {
+          cloudWorks = gone;
+          if (!gone) {
+            loop.after(Constants.RETURN_RETRY_MS, () -> now.forEach(returning::remove));
+          } else {
+            now.forEach(returning::remove);
             log.info("given back: {}", now);
             now.forEach(
                 name -> {
                   removedAt.put(name, loop.millis());
-                  doomed.remove(name);
                   share.removeMachine(name);
                 });
           }
@@ -268,7 +274,7 @@
         if (moved != null && now - moved < 8_000) {
           continue;
         }
-        links.ask(seen.owner(), new Release(view.machine, true));
+        // Not released by its owner: while the cloud takes no returns, a machine that comes back serves.
         lost.add(view.machine);
       } else if (view.faulty && view.state == MachineState.UP && faulty < Constants.FAULTY_RETURNED_AT_ONCE) {
         faulty++;
@@ -316,8 +322,7 @@
         ordinaryInZone.merge(view.zone, 1, Integer::sum);
       }
       boolean empty = view.tasks.stream().allMatch(t -> t.state == TaskState.EXITED);
-      long told = doomed.contains(view.machine) ? 1 : 0;
-      if (empty && told == 0 && (view.vacating || idleFor(view, now) > settings.operators().idleReturnS())) {
+      if (empty && (view.vacating || idleFor(view, now) > settings.operators().idleReturnS())) {
         idle.add(seen);
       }
     }
@@ -491,7 +496,7 @@
     for (Map.Entry<String, MachineOwner> e : share.machines().of().entrySet()) {
       MachineOwner place = e.getValue();
       Flavor flavor = flavors.get(place.kind());
-      if (flavor == null || returning.contains(e.getKey()) || doomed.contains(e.getKey())) {
+      if (flavor == null || returning.contains(e.getKey())) {
         continue;
       }
       Roster.Seen seen = roster.get(e.getKey());
