Submissions are stored for a team's owner that is lost

Cause: in takeovers (about 3 s) submissions got 503 and came too late for their aim; accepting a job needs only its record. Any controller now writes it on the same conditions, with a key that tells the owner, who alone starts tasks.

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -95,8 +95,8 @@
   /** Tasks of one job, the protocol's most. */
   public static final int MAX_TASKS = 100_000;
 
-  /** Milliseconds a forwarded call may take before its user is told to come back. */
-  public static final int FORWARD_MS = 1_500;
+  /** Milliseconds a forwarded call may take before another way is tried; the owner usually needs 20. */
+  public static final int FORWARD_MS = 700;
 
   /** Seconds in {@code Retry-After} when authority is missing: about the time of a takeover. */
   public static final int RETRY_AUTHORITY_S = 1;
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -144,8 +144,14 @@
     toOwner(
         spec.team(),
         new UserCall(++calls, SUBMIT, spec.id(), ByteBuffer.wrap(Json.bytes(forward))),
-        answer,
-        () -> answer.accept(Answer.later(503, "the team's owner does not answer", Constants.RETRY_AUTHORITY_S)));
+        given -> {
+          if (given.status() == 503) {
+            jobs.storeForOwner(spec, answer);
+          } else {
+            answer.accept(given);
+          }
+        },
+        () -> jobs.storeForOwner(spec, answer));
   }
 
   /** A job that was accepted once stays accepted, even if a repeat of it would now be refused. */
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -140,6 +140,11 @@
     jobs.finalSeen(job, record);
   }
 
+  @Override
+  public void jobAdded(String job, String team) {
+    jobs.takeAdded(job, team);
+  }
+
   @Override
   public void finalsMissed() {
     fleet.finalsMissed();
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -213,6 +213,7 @@
           for (Team team : teams.values()) {
             team.jobs.values().forEach(this::tend);
           }
+          Map.copyOf(share.added()).forEach(this::takeAdded);
           checkReady();
           planSoon();
         });
@@ -637,6 +638,81 @@
     }
   }
 
+  /**
+   * Stores a job whose team's owner cannot take it just now: the record alone makes it accepted. Only
+   * the owner ever starts its tasks; a key that all controllers watch tells it of the job.
+   */
+  public void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
+    Answer later = Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
+    if (writer.backlog() >= Constants.SUBMISSIONS_WAITING) {
+      answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
+      return;
+    }
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(JobStore.OPEN + spec.id(), 0L);
+    conditions.put(JobStore.FINAL + spec.id(), 0L);
+    ObjectNode record =
+        new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos())
+            .record(settings.facts().stateValueBytes());
+    ObjectNode marker = Json.object().put("t", spec.team());
+    writer.write(
+        new RecordWriter.Write(
+            conditions,
+            List.of(Op.put(JobStore.OPEN + spec.id(), record), Op.put(Share.addedKey(spec.id()), marker)),
+            false,
+            result -> {
+              if (result.outcome() == Outcome.DONE) {
+                log.info("{} is stored for the owner of team {}", spec.id(), spec.team());
+                answer.accept(
+                    Answer.of(201, Json.object().put("name_id", spec.id()).put("status", "queued")));
+              } else if (result.outcome() == Outcome.CONFLICT) {
+                lookup.find(
+                    spec.id(),
+                    found ->
+                        answer.accept(
+                            switch (found.kind()) {
+                              case OPEN -> Answer.of(200, storedStatus(spec.id(), found.record()));
+                              case FINAL -> Answer.of(200, finalStatus(spec.id(), found.state()));
+                              default -> later;
+                            }));
+              } else {
+                answer.accept(later);
+              }
+            }));
+  }
+
+  /** Takes up a job that another controller stored for a team of ours, and clears the key that told of it. */
+  public void takeAdded(String id, String teamName) {
+    Team team = teams.get(teamName);
+    if (team == null || !team.speaks()) {
+      return;
+    }
+    if (jobs.containsKey(id) || finals.contains(id)) {
+      clearAdded(id);
+      return;
+    }
+    lookup.find(
+        id,
+        found -> {
+          if (teams.get(teamName) != team || !team.speaks()) {
+            return;
+          }
+          switch (found.kind()) {
+            case OPEN -> {
+              reloadStray(JobStore.spec(id, found.record()), found);
+              clearAdded(id);
+            }
+            case FINAL -> clearAdded(id);
+            default -> loop.after(Constants.STATE_RETRY_MS, () -> takeAdded(id, teamName));
+          }
+        });
+  }
+
+  private void clearAdded(String id) {
+    writer.write(
+        new RecordWriter.Write(Map.of(), List.of(Op.remove(Share.addedKey(id))), false, result -> {}));
+  }
+
   public static ObjectNode finalStatus(String id, String state) {
     return Json.object().put("name_id", id).put("status", state);
   }
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -36,6 +36,7 @@
   private static final String LEADER = "c/leader";
   private static final String TEAMS = "c/teams";
   private static final String MACHINES = "c/machines";
+  private static final String ADDED = "c/new/";
   private static final String FINALS = "fin/";
 
   /** The steps to membership; any loss of the hold leads back to the first. */
@@ -58,6 +59,9 @@
     /** A job's final state was stored by anybody. */
     void finalSeen(String job, JsonNode record);
 
+    /** A job was stored for its team's owner, who has to take it up. */
+    void jobAdded(String job, String team);
+
     /** Final states may have been stored unseen: what rests on them must be read again. */
     void finalsMissed();
   }
@@ -83,6 +87,7 @@
   private long finalsFreshAt = Long.MIN_VALUE / 2;
 
   private final Map<String, String> members = new TreeMap<>();
+  private final Map<String, String> added = new TreeMap<>();
   private Teams teams = Teams.NONE;
   private Machines machines = Machines.NONE;
   private String leader = "";
@@ -171,8 +176,14 @@
     return loop.nanos() < abortsKnownAt() + (long) (grace * 1e9);
   }
 
-  public String memberIdOf(String label) {
-    return members.getOrDefault(label, "");
+  /** Jobs that were stored for their team's owner and not taken up yet, with their teams. */
+  public Map<String, String> added() {
+    return added;
+  }
+
+  /** The key that tells a team's owner of a job that was stored for it. */
+  public static String addedKey(String job) {
+    return ADDED + job;
   }
 
   public Set<String> liveIds() {
@@ -331,6 +342,7 @@
             return;
           }
           members.clear();
+          added.clear();
           leader = "";
           leaderRevision = 0;
           entries.forEach(this::absorb);
@@ -432,6 +444,14 @@
         leaderSince = loop.nanos();
         log.info("the leader is {}", leader.isEmpty() ? "nobody" : leader);
       }
+    } else if (key.startsWith(ADDED)) {
+      String job = key.substring(ADDED.length());
+      if (entry.value() == null) {
+        added.remove(job);
+      } else {
+        added.put(job, entry.value().path("t").asText());
+        listener.jobAdded(job, added.get(job));
+      }
     } else if (key.equals(TEAMS) && entry.value() != null) {
       takeTeams(Teams.read(entry.value(), entry.revision()));
     } else if (key.equals(MACHINES) && entry.value() != null) {
