--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -203,6 +203,9 @@
    */
   public static final double COST_FETCH = 2.0;
 
+  /** The same for arrays: less than an extra machine, so that packing comes first. */
+  public static final double COST_FETCH_ARRAY = 0.6;
+
   /**
    * Cost, for work that may use spot machines, of an ordinary one: it is left to services, so that it
    * can be emptied and given back. Not in the design, which knows no prices.
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -158,8 +158,8 @@
     if (!need.standing() && !machines.isEmpty() && !zoneHeld) {
       cost += Constants.COST_ZONE;
     }
-    if (need.standing() && !room.images.contains(need.image())) {
-      cost += Constants.COST_FETCH;
+    if (!room.images.contains(need.image())) {
+      cost += need.standing() ? Constants.COST_FETCH : Constants.COST_FETCH_ARRAY;
     }
     if (need.reclaimable() && !room.spot) {
       cost += Constants.COST_ORDINARY;
