--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -41,6 +41,9 @@
   /** Milliseconds a new leader waits for all controllers before it assigns what has no owner. */
   public static final int LEADER_PATIENCE_MS = 1_500;
 
+  /** Milliseconds a leader that is alone waits for others before it takes over everything. */
+  public static final int LEADER_ALONE_MS = 500;
+
   /** Machines the leader moves between shares in one go: each move costs the machine a new token. */
   public static final int MACHINES_MOVED_AT_ONCE = 3;
 
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -97,6 +99,7 @@
   // The leader's own wishes.
   private long leaderSince;
   private boolean writing;
+  private long movedAt;
   private final Map<String, NewMachine> adds = new LinkedHashMap<>();
   private final Set<String> removes = new TreeSet<>();
   private final Map<String, String> moves = new LinkedHashMap<>();
@@ -612,11 +615,15 @@
     if (!leads() || writing || !members.containsValue(id)) {
       return;
     }
+    // Patience is for a cluster that starts. In a takeover every moment counts, and who comes later
+    // gets its part by moves.
+    boolean starts = teams.revision() == 0 || members.size() == 1;
     boolean complete = members.size() >= settings.facts().controllers();
-    boolean patient = loop.nanos() - leaderSince < Constants.LEADER_PATIENCE_MS * 1_000_000L;
-    if (!complete && patient) {
+    int patience = teams.revision() == 0 ? Constants.LEADER_PATIENCE_MS : Constants.LEADER_ALONE_MS;
+    if (starts && !complete && loop.nanos() - leaderSince < patience * 1_000_000L) {
       return;
     }
+    levelShares();
     Teams nextTeams = planTeams();
     Machines nextMachines = planMachines();
     Map<String, Long> conditions = new LinkedHashMap<>();
@@ -656,6 +663,35 @@
         });
   }
 
+  /** Moves a few machines from the largest share to the smallest, each with a new generation. */
+  private void levelShares() {
+    long now = loop.nanos();
+    if (members.size() < 2 || now - movedAt < Constants.MOVE_PAUSE_MS * 1_000_000L) {
+      return;
+    }
+    Map<String, List<String>> shares = new TreeMap<>();
+    members.values().forEach(member -> shares.put(member, new ArrayList<>()));
+    machines.of().forEach((name, m) -> shares.computeIfPresent(m.owner(), (o, names) -> {
+      names.add(name);
+      return names;
+    }));
+    String rich = Collections.max(shares.keySet(), Comparator.comparingInt(o -> shares.get(o).size()));
+    String poor = Collections.min(shares.keySet(), Comparator.comparingInt(o -> shares.get(o).size()));
+    int surplus = (shares.get(rich).size() - shares.get(poor).size()) / 2;
+    if (surplus < Constants.MACHINES_MOVED_AT_ONCE) {
+      return;
+    }
+    movedAt = now;
+    Map<String, Integer> zones = new TreeMap<>();
+    shares.get(poor).forEach(name -> zones.merge(machines.of().get(name).zone(), 1, Integer::sum));
+    shares.get(rich).sort(
+        Comparator.comparingInt((String name) -> zones.getOrDefault(machines.of().get(name).zone(), 0)));
+    shares.get(rich).stream()
+        .limit(Constants.MACHINES_MOVED_AT_ONCE)
+        .forEach(name -> moves.put(name, poor));
+    log.info("{} machines move from {} to {}", Constants.MACHINES_MOVED_AT_ONCE, rich, poor);
+  }
+
   private void settleWishes() {
     adds.values()
         .removeIf(
