--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -68,7 +68,7 @@
     share = new Share(loop, settings, state);
     links = new PeerLinks(loop, settings, peers, share::incarnation);
     roster = new Roster(share);
-    fleet = new Fleet(loop, settings, share, http, links, store, this::flavor, finals::contains);
+    fleet = new Fleet(loop, settings, share, http, links, store, this::flavor, finals::contains, roster);
     jobs =
         new Jobs(
             loop, settings, share, links, roster,
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -60,6 +60,7 @@
   private final JobStore jobs;
   private final Function<String, Flavor> flavors;
   private final Predicate<String> isFinal;
+  private final Roster roster;
   private final Map<String, Machine> machines = new TreeMap<>();
   private final Map<String, Long> claims = new HashMap<>();
   private final Map<String, JobSpec> specs = new HashMap<>();
@@ -77,7 +78,8 @@
       PeerLinks links,
       JobStore jobs,
       Function<String, Flavor> flavors,
-      Predicate<String> isFinal) {
+      Predicate<String> isFinal,
+      Roster roster) {
     this.loop = loop;
     this.settings = settings;
     this.share = share;
@@ -86,6 +88,7 @@
     this.jobs = jobs;
     this.flavors = flavors;
     this.isFinal = isFinal;
+    this.roster = roster;
   }
 
   public void start() {
@@ -117,6 +120,7 @@
         Machine seen = new Machine(name, place, now);
         seen.tenure = machine.tenure;
         seen.answeredAt = machine.answeredAt;
+        seen.images.addAll(machine.images);
         machines.put(name, seen);
         mark(seen);
         sync(seen);
@@ -126,6 +130,11 @@
         (name, place) -> {
           if (place.owner().equals(share.id()) && !machines.containsKey(name)) {
             Machine machine = new Machine(name, place, now);
+            // What the former owner told of its images still holds.
+            Roster.Seen seen = roster.get(name);
+            if (seen != null) {
+              machine.images.addAll(seen.view().images);
+            }
             machines.put(name, machine);
             gone.remove(name);
             mark(machine);
@@ -437,7 +446,7 @@
       if (spec == null) {
         missing = true;
       } else {
-        describe(entry, spec);
+        describe(machine, entry, spec);
       }
     }
     if (missing) {
@@ -445,7 +454,7 @@
     }
   }
 
-  private static void describe(Entry entry, JobSpec spec) {
+  private static void describe(Machine machine, Entry entry, JobSpec spec) {
     entry.known = true;
     entry.team = spec.team();
     entry.rank = spec.rank().ordinal();
@@ -453,6 +462,9 @@
     entry.gpus = spec.gpus();
     entry.ram = spec.ram();
     entry.image = spec.image();
+    if (entry.state == TaskState.RUNNING) {
+      machine.remember(entry.image);
+    }
   }
 
   private void learn() {
@@ -475,7 +487,7 @@
               }
               JobSpec spec = specs.get(entry.key.task().job());
               if (spec != null) {
-                describe(entry, spec);
+                describe(machine, entry, spec);
                 changed = true;
               } else if (asked.contains(entry)) {
                 // No open job: it has ended, since a task starts only once its job is stored.
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -272,7 +272,7 @@
     }
   }
 
-  private void remember(String image) {
+  void remember(String image) {
     if (!image.isEmpty()) {
       images.remove(image);
       images.add(image);
