--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -568,9 +568,10 @@
     double free = 0;
     for (Room room : rooms) {
       total += room.cpus;
-      free += Math.max(0, room.freeCpus);
+      free += room.spot ? 0 : Math.max(0, room.freeCpus);
     }
     if (free < Constants.HEADROOM_SHARE * total && most > 0 && wanted.isEmpty()) {
+      // Ordinary machines, since the work that may wait least runs on no others.
       Need any = new Need(1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
       Pool pool = cheapest(any, 4, rooms, wanted, now);
       if (pool != null) {
