--- a/src/main/java/org/sandford/cloud/CloudClient.java
+++ b/src/main/java/org/sandford/cloud/CloudClient.java
@@ -44,11 +44,6 @@
     this.rate = new TokenBucket(loop, rps * Constants.CLOUD_RATE_SHARE);
   }
 
-  /** Requests that still wait for the rate. */
-  public int backlog() {
-    return queue.size();
-  }
-
   private void enqueue(Runnable send) {
     queue.addLast(send);
     pump();
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -95,10 +95,6 @@
     loop.every(250, this::tick);
   }
 
-  public int size() {
-    return machines.size();
-  }
-
   // --- the map ----------------------------------------------------------------------------------------
 
   public void mapChanged() {
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -84,7 +84,6 @@
   private long membershipTry;
 
   private long watchSince = -1;
-  private long watchFreshAt = Long.MIN_VALUE / 2;
   private long finalsSince = -1;
   private long finalsFreshAt = Long.MIN_VALUE / 2;
 
@@ -336,7 +335,6 @@
   // --- the watches ----------------------------------------------------------------------------------
 
   private void loadMap() {
-    long sentAt = loop.nanos();
     state.list(
         PREFIX,
         (entries, epoch) -> {
@@ -350,7 +348,6 @@
           leaderRevision = 0;
           entries.forEach(this::absorb);
           watchSince = epoch;
-          watchFreshAt = sentAt;
           listener.mapChanged();
           elect();
           follow();
@@ -358,7 +355,6 @@
   }
 
   private void follow() {
-    long sentAt = loop.nanos();
     state.follow(
         PREFIX,
         watchSince,
@@ -371,7 +367,6 @@
             loop.after(Constants.STATE_RETRY_MS, this::follow);
             return;
           }
-          watchFreshAt = sentAt;
           watchSince = Math.max(watchSince, changes.epoch());
           if (!changes.entries().isEmpty()) {
             changes.entries().forEach(this::absorb);
--- a/src/main/java/org/sandford/state/StateClient.java
+++ b/src/main/java/org/sandford/state/StateClient.java
@@ -82,11 +82,6 @@
     }
   }
 
-  /** Milliseconds until so many writes of a record could go out now. */
-  public long writeWaitMillis(int count) {
-    return writes.waitMillis(count);
-  }
-
   private void enqueue(Priority priority, double writeOps, Runnable send) {
     queues.get(priority).addLast(new Queued(writeOps, send));
     pump();
