A membership overwritten by a late copy of a former life's write is taken anew

Cause, found by reading: after a restart within the old hold's time, a late copy of the former life's membership write replaces the new key and takes it along when the old hold ends; the controller went on without being a member. Scenario with late copies of requests added.

--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -82,6 +82,7 @@
   private long hold;
   private long holdUntil;
   private long membershipTry;
+  private long memberRevision;
 
   private long watchSince = -1;
   private long finalsSince = -1;
@@ -293,6 +294,7 @@
             rejoinSoon(attempt);
             return;
           }
+          memberRevision = result.revision();
           becomes(Membership.MEMBER);
           log.info("joined as {}", id);
           members.put(settings.label(), id);
@@ -424,6 +426,13 @@
     String key = entry.key();
     if (key.startsWith(MEMBER)) {
       String label = key.substring(MEMBER.length());
+      boolean own = label.equals(settings.label()) && membership == Membership.MEMBER;
+      boolean ours = entry.value() != null && entry.value().path("id").asText().equals(id);
+      if (own && !ours && entry.revision() > memberRevision) {
+        // A late copy of a former life's write took the key's place, and will take the key with it.
+        log.info("the membership of {} was overwritten; joining anew", id);
+        join();
+      }
       if (entry.value() == null) {
         String gone = members.remove(label);
         if (gone != null) {
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -196,6 +196,7 @@
           cloud.outage = w.get(2).equals("on");
         }
       }
+      case "duplicates" -> world.duplicates = w.get(1).equals("on");
       case "boots" -> cloud.neverBoot = w.get(1).equals("never");
       case "hang" -> {
         hung = worker(w.get(1));
--- a/src/test/java/org/sandford/scenario/SimHttp.java
+++ b/src/test/java/org/sandford/scenario/SimHttp.java
@@ -35,6 +35,14 @@
       loop.after(1, () -> once.accept(new Reply(Reply.NOT_SENT, new byte[0])));
       return;
     }
+    if (world.duplicates && world.random.nextInt(10) == 0) {
+      // A late copy: it is carried out once more, and its answer goes nowhere.
+      world.after(world.random.nextInt(2_000), () -> world.carry(host, target, () -> {
+        if (!world.isDead(target) && servers.get(target) == server) {
+          server.take(host, method, path, body == null ? new byte[0] : body, ignored -> {});
+        }
+      }));
+    }
     loop.after(timeoutMs, () -> once.accept(new Reply(Reply.UNKNOWN, new byte[0])));
     world.carry(
         host,
--- a/src/test/java/org/sandford/scenario/World.java
+++ b/src/test/java/org/sandford/scenario/World.java
@@ -31,6 +31,8 @@
 
   static final long MS = 1_000_000L;
 
+  /** Whether late copies of requests follow now and then, which also puts them out of order. */
+  boolean duplicates;
   final Random random;
   final List<String> broken = new ArrayList<>();
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
