One way to take a worker's answer, to name an attempt and to ask for an unused id

The idle time in views was published and read by nobody, since the leader counts its own. Behaviour is the same.

--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -289,13 +289,13 @@
   private void dropUnanswered(String from, Views views) {
     int round = linkRounds.getOrDefault(from, 0);
     Set<String> told = new HashSet<>();
-    views.machines.forEach(m -> m.tasks.forEach(t -> told.add(t.job + "/" + t.task + "@" + t.attempt)));
+    views.machines.forEach(m -> m.tasks.forEach(t -> told.add(attempt(t.job, t.task, t.attempt))));
     for (Job job : jobs.values()) {
       for (Placed p : new ArrayList<>(job.placed.values())) {
         if (p.phase() == TaskPhase.REQUESTED
             && p.owner.equals(from)
             && p.linkRound < round
-            && !told.contains(job.spec.id() + "/" + p.task + "@" + p.attempt)) {
+            && !told.contains(attempt(job.spec.id(), p.task, p.attempt))) {
           unplace(job, p);
         }
       }
@@ -320,6 +320,10 @@
     }
   }
 
+  private static String attempt(String job, int task, long attempt) {
+    return job + "/" + task + "@" + attempt;
+  }
+
   private void unplace(Job job, Placed p) {
     job.unplace(p, loop.nanos());
   }
@@ -330,7 +334,7 @@
     }
     Set<String> told = new HashSet<>();
     for (TaskView task : view.tasks) {
-      told.add(task.job + "/" + task.task + "@" + task.attempt);
+      told.add(attempt(task.job, task.task, task.attempt));
       Job job = jobs.get(task.job);
       if (job != null) {
         takeTask(from, view, job, task);
@@ -343,7 +347,7 @@
       for (Placed p : new ArrayList<>(job.placed.values())) {
         if (!p.machine.equals(view.machine)
             || p.phase() == TaskPhase.FINISHED
-            || told.contains(job.spec.id() + "/" + p.task + "@" + p.attempt)) {
+            || told.contains(attempt(job.spec.id(), p.task, p.attempt))) {
           continue;
         }
         // A request under way is answered by its own answer, unless a newer owner settled the machine.
@@ -519,10 +523,16 @@
     storeNew(job);
   }
 
-  private Map<String, Long> newJobConditions(String id) {
+  /** That the id was never used: neither by an open job nor by one that has ended. */
+  private static Map<String, Long> absent(String id) {
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(JobStore.OPEN + id, 0L);
     conditions.put(JobStore.FINAL + id, 0L);
+    return conditions;
+  }
+
+  private Map<String, Long> newJobConditions(String id) {
+    Map<String, Long> conditions = absent(id);
     conditions.put(TEAMS_KEY, share.teams().revision());
     return conditions;
   }
@@ -648,16 +658,13 @@
       answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
       return;
     }
-    Map<String, Long> conditions = new LinkedHashMap<>();
-    conditions.put(JobStore.OPEN + spec.id(), 0L);
-    conditions.put(JobStore.FINAL + spec.id(), 0L);
     ObjectNode record =
         new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos())
             .record(settings.facts().stateValueBytes());
     ObjectNode marker = Json.object().put("t", spec.team());
     writer.write(
         new RecordWriter.Write(
-            conditions,
+            absent(spec.id()),
             List.of(Op.put(JobStore.OPEN + spec.id(), record), Op.put(Share.addedKey(spec.id()), marker)),
             false,
             result -> {
@@ -1085,7 +1092,7 @@
       List<Victim> stop = new ArrayList<>();
       for (Preemption.Victim v : eviction.victims()) {
         stop.add(new Victim(v.job(), v.task(), v.attempt()));
-        preempted.put(v.job() + "/" + v.task() + "@" + v.attempt(), loop.millis());
+        preempted.put(attempt(v.job(), v.task(), v.attempt()), loop.millis());
       }
       int n = eviction.tasks();
       room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
@@ -1113,7 +1120,7 @@
       }
       for (TaskView t : seen.view().tasks) {
         boolean on = t.known && t.state != TaskState.EXITED;
-        if (on && !preempted.containsKey(t.job + "/" + t.task + "@" + t.attempt)) {
+        if (on && !preempted.containsKey(attempt(t.job, t.task, t.attempt))) {
           tasks.add(t);
           machines.add(seen.view().machine);
           beyond.merge(t.team, t.cpus, Double::sum);
@@ -1220,7 +1227,7 @@
       for (TaskView t : view.tasks) {
         if (t.state != TaskState.EXITED) {
           room.take(t.cpus, t.gpus, t.ram);
-          told.add(t.job + "/" + t.task + "@" + t.attempt);
+          told.add(attempt(t.job, t.task, t.attempt));
         }
       }
       rooms.put(view.machine, room);
@@ -1231,7 +1238,7 @@
         Room room = rooms.get(p.machine);
         if (room != null
             && p.phase() != TaskPhase.FINISHED
-            && !told.contains(job.spec.id() + "/" + p.task + "@" + p.attempt)) {
+            && !told.contains(attempt(job.spec.id(), p.task, p.attempt))) {
           room.take(job.spec.cpus(), job.spec.gpus(), job.spec.ram());
         }
       }
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -206,7 +206,6 @@
     if (refusal == null) {
       Machine machine = machines.get(ask.machine);
       machine.accept(ask, loop.nanos());
-      machine.idleSince = 0;
       mark(machine);
       loop.execute(() -> command(machine));
     } else {
@@ -539,7 +538,6 @@
     if (!alive(machine)) {
       return;
     }
-    WorkerReport said = WorkerReport.read(Json.read(reply.body()));
     switch (reply.status()) {
       case 200 -> {
         machine.directFailures = 0;
@@ -566,11 +564,18 @@
         resyncLater(machine);
       }
     }
+    hear(machine, reply);
+    mark(machine);
+    command(machine);
+  }
+
+  /** Takes in the report that a worker's answer carries, if it is news; false when it carries none. */
+  private boolean hear(Machine machine, Reply reply) {
+    WorkerReport said = WorkerReport.read(Json.read(reply.body()));
     if (said != null && !machine.stale(said)) {
       take(machine, said, false);
     }
-    mark(machine);
-    command(machine);
+    return said != null;
   }
 
   private void resyncLater(Machine machine) {
@@ -615,10 +620,7 @@
           if (!alive(machine)) {
             return;
           }
-          WorkerReport said = WorkerReport.read(Json.read(reply.body()));
-          if (said != null && !machine.stale(said)) {
-            take(machine, said, false);
-          }
+          hear(machine, reply);
           if (reply.ok()) {
             machine.directFailures = 0;
           }
@@ -633,10 +635,7 @@
     double lostAfter = settings.facts().reportS() * Constants.LOST_PERIODS;
     for (Machine machine : machines.values()) {
       double silent = (now - machine.heardAt) / 1e9;
-      boolean expected =
-          machine.place.seen()
-              && machine.state() != MachineState.LOST
-              && machine.state() != MachineState.RELEASED;
+      boolean expected = expected(machine);
       if (expected && silent > lostAfter) {
         lose(machine, silent);
       } else if (expected && silent > overdue) {
@@ -656,6 +655,13 @@
     announced.values().removeIf(at -> now - at > 60_000_000_000L);
   }
 
+  /** Whether its worker should be heard: it is known to have come up, and nobody gave it up. */
+  private static boolean expected(Machine machine) {
+    return machine.place.seen()
+        && machine.state() != MachineState.LOST
+        && machine.state() != MachineState.RELEASED;
+  }
+
   private void lose(Machine machine, double silent) {
     machine.dropQueued();
     machine.becomes(MachineState.LOST, String.format("silent for %.1f s", silent));
@@ -680,14 +686,7 @@
           if (!alive(machine)) {
             return;
           }
-          WorkerReport said = WorkerReport.read(Json.read(reply.body()));
-          if (reply.ok() && said != null) {
-            if (!machine.stale(said)) {
-              take(machine, said, false);
-            }
-          } else if (machine.heardAt < askedAt
-              && machine.state() != MachineState.LOST
-              && machine.state() != MachineState.RELEASED) {
+          if (!(reply.ok() && hear(machine, reply)) && machine.heardAt < askedAt && expected(machine)) {
             lose(machine, (loop.nanos() - machine.heardAt) / 1e9);
           }
         });
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -86,7 +86,6 @@
   long heardAt;
   long answeredAt = Long.MIN_VALUE;
   long mineAt = Long.MIN_VALUE;
-  long idleSince;
   double noticeS = Double.NaN;
   boolean faulty;
   boolean probing;
@@ -106,7 +105,6 @@
     this.place = place;
     this.assignedAt = now;
     this.heardAt = now;
-    this.idleSince = now;
     this.state = place.seen() ? MachineState.SYNCING : MachineState.WAITING;
   }
 
@@ -238,11 +236,6 @@
         it.remove();
       }
     }
-    if (empty()) {
-      idleSince = idleSince == 0 ? now : idleSince;
-    } else {
-      idleSince = 0;
-    }
   }
 
   /**
@@ -391,7 +384,6 @@
         place.spot(),
         tasks,
         new ArrayList<>(images),
-        idleSince == 0 ? 0 : (now - idleSince) / 1e9,
         faulty,
         settled(),
         vacating);
