--- /dev/null
+++ b/src/main/java/org/sandford/Constants.java
@@ -0,0 +1,237 @@
+package org.sandford;
+
+/**
+ * Every constant of the service, with its unit and the reason for its value. What belongs to a
+ * deployment (periods, limits, teams) comes from the facts of the settings and never stands here.
+ */
+public final class Constants {
+  private Constants() {}
+
+  // --- time -------------------------------------------------------------------------------------
+
+  /** Share by which two steady clocks may differ, doubled: both ends of a bound may be off. */
+  public static final double CLOCK_DRIFT = 0.001;
+
+  /** Seconds added to bounds that end in a kill: timers go off late when the processor is short. */
+  public static final double KILL_MARGIN_S = 1.5;
+
+  // --- share: hold, leadership, map ---------------------------------------------------------------
+
+  /** Milliseconds a hold lasts: short enough to notice a lost controller, long enough for a slow store. */
+  public static final int HOLD_TTL_MS = 3_000;
+
+  /** Milliseconds between renewals: three fit into a hold, so that one may be lost. */
+  public static final int HOLD_RENEW_MS = 900;
+
+  /** Milliseconds waited for one renewal before the next is sent. */
+  public static final int HOLD_CALL_MS = 800;
+
+  /** Milliseconds taken off the end of a hold before acting on it: work that is already under way. */
+  public static final int HOLD_MARGIN_MS = 250;
+
+  /** Milliseconds the store may hold a watch open; each answer proves the watch is fresh. */
+  public static final int WATCH_BLOCK_MS = 1_500;
+
+  /** Milliseconds after which an unanswered watch is given up and opened anew. */
+  public static final int WATCH_CALL_MS = 4_000;
+
+  /** Milliseconds between two looks of the leader at the map when nothing happens. */
+  public static final int LEADER_TICK_MS = 500;
+
+  /** Milliseconds a new leader waits for all controllers before it assigns what has no owner. */
+  public static final int LEADER_PATIENCE_MS = 1_500;
+
+  /** Machines the leader moves between shares in one go: each move costs the machine a new token. */
+  public static final int MACHINES_MOVED_AT_ONCE = 3;
+
+  /** Milliseconds between two moves: the shares' owners report their room in between. */
+  public static final int MOVE_PAUSE_MS = 4_000;
+
+  // --- state service ------------------------------------------------------------------------------
+
+  /** Share of the store's rates one controller allows itself; bursts of one rarely meet the others'. */
+  public static final double STATE_RATE_SHARE = 0.6;
+
+  /** Milliseconds waited for an ordinary answer of the store: now and then it takes a few hundred. */
+  public static final int STATE_CALL_MS = 1_500;
+
+  /** Milliseconds before a request that the store refused (429, 503) is sent again. */
+  public static final int STATE_RETRY_MS = 200;
+
+  /** Bytes of a transaction's body that are used of the protocol's 64 KiB; the rest is for its frame. */
+  public static final int TXN_BYTES = 56 * 1024;
+
+  /** Transactions of job records in flight at once: more would only wait in the store. */
+  public static final int TXNS_IN_FLIGHT = 4;
+
+  /** Items asked for in one listing of the store, the protocol's most. */
+  public static final int STORE_PAGE = 1_000;
+
+  // --- peers ----------------------------------------------------------------------------------------
+
+  /** Milliseconds between two signs of life on a peer link. */
+  public static final int PEER_BEAT_MS = 700;
+
+  /** Milliseconds of silence after which a peer link is closed and dialled anew. */
+  public static final int PEER_SILENCE_MS = 3_000;
+
+  /** Milliseconds between two attempts to dial a peer. */
+  public static final int PEER_REDIAL_MS = 500;
+
+  /** Milliseconds allowed for a connection to be made, inside the cluster. */
+  public static final int CONNECT_MS = 1_000;
+
+  /** Bytes of the largest frame taken from a peer: the views of a whole share fit many times. */
+  public static final int PEER_FRAME_BYTES = 4 * 1024 * 1024;
+
+  /** Bytes queued for a peer that does not read, after which the link is closed. */
+  public static final int PEER_BACKLOG_BYTES = 2 * 1024 * 1024;
+
+  // --- users ------------------------------------------------------------------------------------------
+
+  /** Bytes of a request body, the protocol's most. */
+  public static final int BODY_BYTES = 64 * 1024;
+
+  /** Tasks of one job, the protocol's most. */
+  public static final int MAX_TASKS = 100_000;
+
+  /** Milliseconds a forwarded call may take before its user is told to come back. */
+  public static final int FORWARD_MS = 1_500;
+
+  /** Seconds in {@code Retry-After} when authority is missing: about the time of a takeover. */
+  public static final int RETRY_AUTHORITY_S = 1;
+
+  /** Seconds in {@code Retry-After} under overload. */
+  public static final int RETRY_OVERLOAD_S = 2;
+
+  /** Submissions waiting for the store beyond which a user is told to come back: a second's worth. */
+  public static final int SUBMISSIONS_WAITING = 40;
+
+  /** Entries of the cache of final answers; each is small, and the store has the rest. */
+  public static final int FINALS_CACHED = 20_000;
+
+  /** Entries of the cache that tells which team a job belongs to. */
+  public static final int TEAMS_CACHED = 20_000;
+
+  /** Sockets kept back from users for workers, peers, the store and the cloud. */
+  public static final int SOCKETS_RESERVED = 160;
+
+  /** Sockets when the facts name no limit. */
+  public static final int DEFAULT_SOCKETS = 1_024;
+
+  // --- workers ------------------------------------------------------------------------------------------
+
+  /** Report periods of silence after which a machine counts as lost and is given back. */
+  public static final double LOST_PERIODS = 3.5;
+
+  /** Milliseconds waited for a worker's answer to direct commands. */
+  public static final int COMMAND_CALL_MS = 1_500;
+
+  /** Milliseconds between attempts to raise the token of a machine that was taken over. */
+  public static final int SYNC_RETRY_MS = 700;
+
+  /** Fencing tokens of one generation: an owner may raise its token so often by itself. */
+  public static final long TOKENS_PER_GENERATION = 1L << 16;
+
+  /** Seconds a silent machine of a former owner must be left before its tasks are surely over, beyond cancel_s. */
+  public static final double FOREIGN_LEASE_EXTRA_S = 2.0;
+
+  /** Distinct jobs that must fail on a machine, with none done in between, until it counts as faulty. */
+  public static final int FAULTY_JOBS = 2;
+
+  /** Images remembered for a machine; the worker keeps the most recently used ones. */
+  public static final int IMAGES_REMEMBERED = 24;
+
+  /** Milliseconds between two publications of changed views: changes within are sent together. */
+  public static final int PUBLISH_MS = 5;
+
+  // --- jobs ------------------------------------------------------------------------------------------------
+
+  /** Milliseconds between two planning rounds at the least: what arrives within is planned together. */
+  public static final int PLAN_MS = 10;
+
+  /** Milliseconds between planning rounds when nothing happens. */
+  public static final int PLAN_IDLE_MS = 500;
+
+  /** Milliseconds after which a task that a machine refused is tried again. */
+  public static final int REFUSED_RETRY_MS = 300;
+
+  /** Milliseconds of the first pause after a task failed; it doubles per failure in a row. */
+  public static final int ERROR_BACKOFF_MS = 500;
+
+  /** Milliseconds of the longest pause after failures: a job that fails everywhere costs little. */
+  public static final int ERROR_BACKOFF_MAX_MS = 60_000;
+
+  /** Attempts of one team generation: the generation stands above them, so attempts rise for ever. */
+  public static final long ATTEMPTS_PER_GENERATION = 1L << 24;
+
+  /** Milliseconds a job that asked for preemption waits before it asks again. */
+  public static final int PREEMPT_PAUSE_MS = 1_500;
+
+  // --- placement -----------------------------------------------------------------------------------------------
+
+  /** Weight of the plan's cost against fitness; the design's starting value. */
+  public static final double LAMBDA = 0.5;
+
+  /** Cost of each machine of a plan beyond the first; the design's starting value. */
+  public static final double COST_MACHINE = 1.0;
+
+  /** Cost of each zone of a plan beyond the first, standing for racks; the design's starting value. */
+  public static final double COST_ZONE = 4.0;
+
+  /** Amounts closer than this are equal: sums of decimal amounts are not exact. */
+  public static final double EPSILON = 1e-6;
+
+  // --- capacity ---------------------------------------------------------------------------------------------------
+
+  /** Milliseconds between two looks at renting and returning. */
+  public static final int CAPACITY_TICK_MS = 500;
+
+  /** Milliseconds between two readings of the machine list. */
+  public static final int LIST_MS = 4_000;
+
+  /** Milliseconds between two readings of kinds and prices. */
+  public static final int FLAVORS_MS = 30_000;
+
+  /** Milliseconds waited for the cloud. */
+  public static final int CLOUD_CALL_MS = 8_000;
+
+  /** Share of the cloud's rate that is used; the rest is for a second leader during a takeover. */
+  public static final double CLOUD_RATE_SHARE = 0.7;
+
+  /** Machines in one rental request, the protocol's most. */
+  public static final int HIRE_MOST = 50;
+
+  /** Names in one return, the protocol's most. */
+  public static final int RETURN_MOST = 100;
+
+  /** Items in one page of the machine list, the protocol's most. */
+  public static final int LIST_PAGE = 500;
+
+  /** Milliseconds a pool without capacity is left alone. */
+  public static final int POOL_PAUSE_MS = 12_000;
+
+  /** Times the nominal boot time after which a machine that never reported is given back. */
+  public static final double BOOT_PATIENCE = 3.0;
+
+  /** Seconds added to that: short boot times vary more. */
+  public static final double BOOT_PATIENCE_S = 20.0;
+
+  /** Seconds an empty machine is kept: a return is paid for 60 s at the least, and work comes in waves. */
+  public static final double IDLE_RETURN_S = 45.0;
+
+  /** Share of the fleet's processors kept free for work that may not wait. */
+  public static final double HEADROOM_SHARE = 0.08;
+
+  /** Seconds after a removal in which an older list may still show the machine. */
+  public static final double REMOVED_REMEMBERED_S = 120.0;
+
+  /** Machines rented at the most when the operators set nothing. */
+  public static final int DEFAULT_MAX_MACHINES = 120;
+
+  /** Faulty or lost machines given back at once: a bad job must not empty the fleet. */
+  public static final int FAULTY_RETURNED_AT_ONCE = 2;
+
+  /** Milliseconds between two summaries in the log. */
+  public static final int SUMMARY_MS = 30_000;
+}
--- /dev/null
+++ b/src/main/java/org/sandford/api/Api.java
@@ -0,0 +1,338 @@
+package org.sandford.api;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+import org.sandford.Constants;
+import org.sandford.capacity.Capacity;
+import org.sandford.core.Answer;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.job.Finals;
+import org.sandford.job.JobSpec;
+import org.sandford.job.Jobs;
+import org.sandford.job.Lookup;
+import org.sandford.machine.Fleet;
+import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.UserAnswer;
+import org.sandford.peer.wire.UserCall;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.TeamOwner;
+import org.sandford.share.Share;
+
+/**
+ * The users' interface. It checks, answers at once what it can, and forwards the rest to the owner of
+ * the job's team.
+ */
+public final class Api {
+  private static final String SUBMIT = "submit";
+  private static final String POLL = "poll";
+  private static final String ABORT = "abort";
+
+  private record Forwarded(Consumer<Answer> answer, Loop.Timer timer) {}
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final PeerLinks links;
+  private final Jobs jobs;
+  private final Fleet fleet;
+  private final Finals finals;
+  private final Lookup lookup;
+  private final Capacity capacity;
+  private final Map<Long, Forwarded> forwarded = new HashMap<>();
+  private final Histogram submitMillis = new Histogram(60_000, 2);
+  private long calls;
+
+  public Api(
+      Loop loop,
+      Settings settings,
+      Share share,
+      PeerLinks links,
+      Jobs jobs,
+      Fleet fleet,
+      Finals finals,
+      Lookup lookup,
+      Capacity capacity) {
+    this.loop = loop;
+    this.settings = settings;
+    this.share = share;
+    this.links = links;
+    this.jobs = jobs;
+    this.fleet = fleet;
+    this.finals = finals;
+    this.lookup = lookup;
+    this.capacity = capacity;
+  }
+
+  /** Times from a submission's arrival here to its answer, in milliseconds. */
+  public Histogram submitMillis() {
+    return submitMillis;
+  }
+
+  /** Takes one HTTP request. */
+  public void take(String method, String uri, byte[] body, Consumer<Answer> answer) {
+    int query = uri.indexOf('?');
+    String path = query < 0 ? uri : uri.substring(0, query);
+    if (path.equals("/hello")) {
+      only("POST", method, answer, () -> answer.accept(fleet.hello(Json.read(body))));
+    } else if (path.equals("/up")) {
+      only("GET", method, answer, () -> answer.accept(up()));
+    } else if (path.equals("/work")) {
+      only("POST", method, answer, () -> submit(body, timed(answer)));
+    } else if (path.startsWith("/work/")) {
+      String rest = path.substring("/work/".length());
+      boolean abort = rest.endsWith("/abort");
+      String id = abort ? rest.substring(0, rest.length() - "/abort".length()) : rest;
+      if (!JobParser.isId(id)) {
+        answer.accept(Answer.refuse(404, "no job has this id"));
+      } else if (abort) {
+        only("POST", method, answer, () -> abort(id, answer));
+      } else {
+        only("GET", method, answer, () -> poll(id, answer));
+      }
+    } else {
+      answer.accept(Answer.refuse(404, "there is nothing at " + path));
+    }
+  }
+
+  private static void only(String expected, String method, Consumer<Answer> answer, Runnable then) {
+    if (expected.equals(method)) {
+      then.run();
+    } else {
+      answer.accept(Answer.refuse(405, "only " + expected + " is allowed here"));
+    }
+  }
+
+  private Consumer<Answer> timed(Consumer<Answer> answer) {
+    long since = loop.millis();
+    return a -> {
+      submitMillis.recordValue(Math.min(60_000, Math.max(0, loop.millis() - since)));
+      answer.accept(a);
+    };
+  }
+
+  /** A controller can take requests when it may act itself, or reach another that may. */
+  private Answer up() {
+    boolean can = share.mapKnown() && (share.holdValid() || links.anyLive());
+    return can ? Answer.of(200, Json.object().put("status", "up")) : Answer.later(503, "not ready yet", 1);
+  }
+
+  // --- submissions -------------------------------------------------------------------------------------
+
+  private void submit(byte[] bytes, Consumer<Answer> answer) {
+    JsonNode body = Json.read(bytes);
+    JobSpec spec;
+    try {
+      spec = JobParser.parse(body);
+      if (capacity.flavors().isEmpty()) {
+        answer.accept(Answer.later(503, "the machine types are not known yet", 1));
+        return;
+      }
+      JobParser.checkRunnable(spec, settings.facts().teams(), capacity.flavors());
+    } catch (JobParser.Refused refused) {
+      refuse(JobParser.idOf(body), refused, answer);
+      return;
+    }
+    lookup.remember(spec.id(), spec.team());
+    ObjectNode forward = Json.object();
+    forward.set("s", spec.json());
+    toOwner(
+        spec.team(),
+        new UserCall(++calls, SUBMIT, spec.id(), ByteBuffer.wrap(Json.bytes(forward))),
+        answer,
+        () -> answer.accept(Answer.later(503, "the team's owner does not answer", Constants.RETRY_AUTHORITY_S)));
+  }
+
+  /** A job that was accepted once stays accepted, even if a repeat of it would now be refused. */
+  private void refuse(String id, JobParser.Refused refused, Consumer<Answer> answer) {
+    Answer refusal = Answer.refuse(refused.status, refused.getMessage());
+    if (id.isEmpty()) {
+      answer.accept(refusal);
+      return;
+    }
+    pollStored(
+        id,
+        found -> {
+          if (found.status() == 404) {
+            answer.accept(refusal);
+          } else {
+            answer.accept(found);
+          }
+        });
+  }
+
+  // --- polls and cancellations ---------------------------------------------------------------------------
+
+  private void poll(String id, Consumer<Answer> answer) {
+    String ended = finals.get(id);
+    if (ended != null) {
+      answer.accept(Answer.of(200, Jobs.finalStatus(id, ended)));
+      return;
+    }
+    Answer own = jobs.poll(id);
+    if (own != null) {
+      answer.accept(own);
+      return;
+    }
+    String team = lookup.teamOf(id);
+    TeamOwner owner = team == null ? null : share.teams().of().get(team);
+    boolean elsewhere = owner != null && !owner.owner().equals(share.id());
+    if (elsewhere) {
+      toOwner(
+          team,
+          new UserCall(++calls, POLL, id, ByteBuffer.allocate(0)),
+          given -> {
+            if (given.status() == 200) {
+              answer.accept(given);
+            } else {
+              pollStored(id, answer);
+            }
+          },
+          () -> pollStored(id, answer));
+    } else {
+      pollStored(id, answer);
+    }
+  }
+
+  /** Answers from a fresh read of the store, which alone may say that there is no such job. */
+  private void pollStored(String id, Consumer<Answer> answer) {
+    lookup.find(
+        id,
+        found ->
+            answer.accept(
+                switch (found.kind()) {
+                  case FINAL -> Answer.of(200, Jobs.finalStatus(id, found.state()));
+                  case OPEN -> {
+                    Answer own = jobs.poll(id);
+                    yield own != null ? own : Answer.of(200, Jobs.storedStatus(id, found.record()));
+                  }
+                  case NONE -> Answer.refuse(404, "no job has this id");
+                  case UNKNOWN -> Answer.later(503, "the job's state is not known just now", 1);
+                }));
+  }
+
+  private void abort(String id, Consumer<Answer> answer) {
+    String ended = finals.get(id);
+    if (ended != null) {
+      answer.accept(Answer.of(200, Jobs.finalStatus(id, ended)));
+      return;
+    }
+    if (jobs.abort(id, answer)) {
+      return;
+    }
+    String team = lookup.teamOf(id);
+    if (team != null) {
+      forwardAbort(id, team, answer);
+      return;
+    }
+    lookup.find(
+        id,
+        found -> {
+          switch (found.kind()) {
+            case FINAL -> answer.accept(Answer.of(200, Jobs.finalStatus(id, found.state())));
+            case OPEN -> forwardAbort(id, found.team(), answer);
+            case NONE -> answer.accept(Answer.refuse(404, "no job has this id"));
+            case UNKNOWN -> answer.accept(Answer.later(503, "the job's state is not known just now", 1));
+          }
+        });
+  }
+
+  private void forwardAbort(String id, String team, Consumer<Answer> answer) {
+    toOwner(
+        team,
+        new UserCall(++calls, ABORT, id, ByteBuffer.allocate(0)),
+        answer,
+        () -> answer.accept(Answer.later(503, "the team's owner does not answer", Constants.RETRY_AUTHORITY_S)));
+  }
+
+  // --- forwarding ------------------------------------------------------------------------------------------
+
+  private void toOwner(String team, UserCall call, Consumer<Answer> answer, Runnable unreachable) {
+    TeamOwner owner = share.teams().of().get(team);
+    String label = owner == null ? "" : Share.labelOf(owner.owner());
+    if (label.equals(settings.label())) {
+      serve(call, answer);
+      return;
+    }
+    if (!links.ask(label, call)) {
+      unreachable.run();
+      return;
+    }
+    Loop.Timer timer =
+        loop.after(
+            Constants.FORWARD_MS,
+            () -> {
+              if (forwarded.remove(call.call) != null) {
+                unreachable.run();
+              }
+            });
+    forwarded.put(call.call, new Forwarded(answer, timer));
+  }
+
+  /** A call that another controller forwarded to this one. */
+  public void called(UserCall call, Consumer<Object> reply) {
+    serve(
+        call,
+        answer ->
+            reply.accept(
+                new UserAnswer(call.call, answer.status(), Json.text(answer.body()), answer.retryAfterS())));
+  }
+
+  private void serve(UserCall call, Consumer<Answer> answer) {
+    switch (call.verb) {
+      case SUBMIT -> {
+        byte[] bytes = new byte[call.body.remaining()];
+        call.body.duplicate().get(bytes);
+        jobs.submit(JobSpec.read(call.job, Json.read(bytes).path("s")), answer);
+      }
+      case POLL -> {
+        Answer own = jobs.poll(call.job);
+        String ended = finals.get(call.job);
+        if (ended != null) {
+          answer.accept(Answer.of(200, Jobs.finalStatus(call.job, ended)));
+        } else {
+          answer.accept(own != null ? own : Answer.later(503, "not known here", 1));
+        }
+      }
+      case ABORT -> {
+        if (!jobs.abort(call.job, answer)) {
+          abortUnknown(call.job, answer);
+        }
+      }
+      default -> answer.accept(Answer.refuse(400, "unknown call " + call.verb));
+    }
+  }
+
+  private void abortUnknown(String id, Consumer<Answer> answer) {
+    pollStored(
+        id,
+        found -> {
+          String status = found.body().path("status").asText();
+          if (found.status() == 404 || status.equals("done") || status.equals("aborted")) {
+            answer.accept(found);
+          } else {
+            answer.accept(Answer.later(503, "the job's owner is not ready", Constants.RETRY_AUTHORITY_S));
+          }
+        });
+  }
+
+  public void answered(UserAnswer reply) {
+    Forwarded call = forwarded.remove(reply.call);
+    if (call == null) {
+      return;
+    }
+    call.timer.cancel();
+    JsonNode body = Json.read(reply.body);
+    ObjectNode object = body.isObject() ? (ObjectNode) body : Json.object();
+    String status = object.path("status").asText();
+    if (reply.status == 200 && (status.equals("done") || status.equals("aborted"))) {
+      finals.put(object.path("name_id").asText(), Json.object().put("s", status));
+    }
+    call.answer.accept(new Answer(reply.status, object, reply.retryAfterS));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -0,0 +1,527 @@
+package org.sandford.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import org.sandford.Constants;
+import org.sandford.cloud.CloudClient;
+import org.sandford.cloud.CloudClient.Hired;
+import org.sandford.cloud.CloudClient.Listed;
+import org.sandford.cloud.Flavor;
+import org.sandford.core.Loop;
+import org.sandford.machine.Roster;
+import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.DemandClass;
+import org.sandford.peer.wire.MachineState;
+import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.Release;
+import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.TaskView;
+import org.sandford.placement.Need;
+import org.sandford.placement.Planner;
+import org.sandford.placement.Room;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.Share;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Renting and returning machines. The leader does it for all; every controller reads the kinds. */
+public final class Capacity {
+  private static final Logger log = LoggerFactory.getLogger(Capacity.class);
+
+  /** Machines of one kind in one zone, spot or ordinary: the cloud grants or refuses them together. */
+  private record Pool(String kind, String zone, boolean spot) {}
+
+  /** A rental request that was not answered yet. */
+  private static final class Hire {
+    final String name;
+    final Pool pool;
+    final int number;
+    final long since;
+
+    Hire(String name, Pool pool, int number, long since) {
+      this.name = name;
+      this.pool = pool;
+      this.number = number;
+      this.since = since;
+    }
+  }
+
+  private record Told(List<DemandClass> classes, long at) {}
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final CloudClient cloud;
+  private final PeerLinks links;
+  private final Roster roster;
+  private final Supplier<List<DemandClass>> ownDemand;
+  private final Map<String, Flavor> flavors = new TreeMap<>();
+  private final Map<String, Told> demands = new HashMap<>();
+  private final Map<String, Hire> hires = new LinkedHashMap<>();
+  private final Map<Pool, Long> pausedUntil = new HashMap<>();
+  private final Map<String, Long> notedAt = new HashMap<>();
+  private final Map<String, Long> removedAt = new HashMap<>();
+  private final Map<String, Long> movedAt = new HashMap<>();
+  private final Set<String> returning = new HashSet<>();
+  private final Set<String> doomed = new HashSet<>();
+  private boolean listing;
+  private long listedAt = Long.MIN_VALUE / 2;
+  private long troubleUntil;
+  private boolean readingFlavors;
+  private long flavorsAt = Long.MIN_VALUE / 2;
+  private boolean led;
+
+  public Capacity(
+      Loop loop,
+      Settings settings,
+      Share share,
+      CloudClient cloud,
+      PeerLinks links,
+      Roster roster,
+      Supplier<List<DemandClass>> ownDemand) {
+    this.loop = loop;
+    this.settings = settings;
+    this.share = share;
+    this.cloud = cloud;
+    this.links = links;
+    this.roster = roster;
+    this.ownDemand = ownDemand;
+  }
+
+  public void start() {
+    readFlavors();
+    loop.every(Constants.CAPACITY_TICK_MS, this::tick);
+  }
+
+  public Flavor flavor(String kind) {
+    return flavors.get(kind);
+  }
+
+  public Map<String, Flavor> flavors() {
+    return flavors;
+  }
+
+  /** What a controller's teams wait for. */
+  public void demand(String from, List<DemandClass> classes) {
+    demands.put(from, new Told(classes, loop.millis()));
+  }
+
+  private void readFlavors() {
+    if (readingFlavors) {
+      return;
+    }
+    readingFlavors = true;
+    cloud.flavors(
+        read -> {
+          readingFlavors = false;
+          if (read != null) {
+            flavorsAt = loop.millis();
+            read.forEach(flavor -> flavors.put(flavor.kind(), flavor));
+          }
+        });
+  }
+
+  private void tick() {
+    long now = loop.millis();
+    if (flavors.isEmpty() || now - flavorsAt > Constants.FLAVORS_MS) {
+      readFlavors();
+    }
+    if (!share.leads()) {
+      led = false;
+      return;
+    }
+    if (!led) {
+      led = true;
+      notedAt.clear();
+      hires.clear();
+    }
+    if (!listing && now - listedAt > Constants.LIST_MS) {
+      list();
+    }
+    removedAt.values().removeIf(at -> now - at > Constants.REMOVED_REMEMBERED_S * 1000);
+    share.machines().of().keySet().forEach(name -> notedAt.putIfAbsent(name, now));
+    notedAt.keySet().retainAll(share.machines().of().keySet());
+    replaceBroken(now);
+    giveBackReleased();
+    if (!flavors.isEmpty() && now >= troubleUntil) {
+      rent(now);
+    }
+    returnIdle(now);
+  }
+
+  // --- the list ----------------------------------------------------------------------------------------
+
+  private void list() {
+    listing = true;
+    cloud.list(
+        listed -> {
+          listing = false;
+          listedAt = loop.millis();
+          if (listed != null && share.leads()) {
+            listed.forEach(this::takeListed);
+          }
+        });
+  }
+
+  private void takeListed(Listed machine) {
+    MachineOwner place = share.machines().of().get(machine.name());
+    if (machine.status().equals("failed")) {
+      giveBack(List.of(machine.name()));
+      return;
+    }
+    if (removedAt.containsKey(machine.name()) || returning.contains(machine.name())) {
+      return;
+    }
+    boolean up = machine.status().equals("running");
+    if (place == null || (!place.seen() && up)) {
+      share.addMachine(
+          new Share.NewMachine(
+              machine.name(), up ? machine.address() : "", machine.kind(), machine.zone(), machine.spot()));
+    }
+    Flavor flavor = flavors.get(machine.kind());
+    boolean unseen = place == null || !place.seen();
+    if (!up && unseen && flavor != null
+        && machine.ageS() > flavor.bootS() * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_S) {
+      log.info("machine {} in zone {} never came up; it is given back", machine.name(), machine.zone());
+      giveBack(List.of(machine.name()));
+    }
+  }
+
+  // --- returning ------------------------------------------------------------------------------------------
+
+  private void giveBack(List<String> names) {
+    List<String> now = names.stream().filter(returning::add).limit(Constants.RETURN_MOST).toList();
+    if (now.isEmpty()) {
+      return;
+    }
+    cloud.giveBack(
+        now,
+        gone -> {
+          now.forEach(returning::remove);
+          if (gone) {
+            log.info("given back: {}", now);
+            now.forEach(
+                name -> {
+                  removedAt.put(name, loop.millis());
+                  doomed.remove(name);
+                  share.removeMachine(name);
+                });
+          }
+        });
+  }
+
+  private void giveBackReleased() {
+    List<String> names = new ArrayList<>();
+    for (Roster.Seen seen : roster.all()) {
+      if (seen.view().state == MachineState.RELEASED && roster.current(seen)) {
+        names.add(seen.view().machine);
+      }
+    }
+    giveBack(names);
+  }
+
+  /** Lost and faulty machines are given back, which frees their tasks sooner than their lease. */
+  private void replaceBroken(long now) {
+    Map<String, int[]> byOwner = new HashMap<>();
+    for (Roster.Seen seen : roster.all()) {
+      if (roster.current(seen) && share.machines().of().get(seen.view().machine).seen()) {
+        int[] n = byOwner.computeIfAbsent(seen.owner(), o -> new int[2]);
+        n[0]++;
+        if (seen.view().state == MachineState.LOST) {
+          n[1]++;
+        }
+      }
+    }
+    int faulty = 0;
+    for (Roster.Seen seen : roster.all()) {
+      MachineView view = seen.view();
+      if (!roster.current(seen)) {
+        continue;
+      }
+      if (view.state == MachineState.LOST) {
+        int[] n = byOwner.getOrDefault(seen.owner(), new int[2]);
+        boolean ownerCutOff = n[1] >= 3 && n[1] * 2 > n[0] && byOwner.size() > 1;
+        Long moved = movedAt.get(view.machine);
+        if (ownerCutOff && (moved == null || now - moved > 60_000)) {
+          // Rather the owner than so many machines has lost the network: another one may reach them.
+          String to = otherOwner(seen.owner());
+          if (!to.isEmpty()) {
+            movedAt.put(view.machine, now);
+            share.moveMachine(view.machine, to);
+          }
+          continue;
+        }
+        if (moved != null && now - moved < 8_000) {
+          continue;
+        }
+        links.ask(seen.owner(), new Release(view.machine, true));
+      } else if (view.faulty && view.state == MachineState.UP && faulty < Constants.FAULTY_RETURNED_AT_ONCE) {
+        faulty++;
+        links.ask(seen.owner(), new Release(view.machine, true));
+      }
+    }
+    movedAt.values().removeIf(at -> now - at > 120_000);
+  }
+
+  private String otherOwner(String label) {
+    String best = "";
+    int least = Integer.MAX_VALUE;
+    for (String id : share.liveIds()) {
+      if (Share.labelOf(id).equals(label)) {
+        continue;
+      }
+      int size = (int) share.machines().of().values().stream().filter(m -> m.owner().equals(id)).count();
+      if (size < least) {
+        least = size;
+        best = id;
+      }
+    }
+    return best;
+  }
+
+  private void returnIdle(long now) {
+    double total = 0;
+    double free = 0;
+    Map<String, Integer> ordinaryInZone = new HashMap<>();
+    List<Roster.Seen> idle = new ArrayList<>();
+    for (Roster.Seen seen : roster.all()) {
+      MachineView view = seen.view();
+      Flavor flavor = flavors.get(view.kind);
+      if (view.state != MachineState.UP || flavor == null || !roster.current(seen)) {
+        continue;
+      }
+      double used = 0;
+      for (TaskView t : view.tasks) {
+        used += t.state == TaskState.EXITED ? 0 : t.cpus;
+      }
+      total += flavor.cpus();
+      free += flavor.cpus() - used;
+      if (!view.spot) {
+        ordinaryInZone.merge(view.zone, 1, Integer::sum);
+      }
+      boolean empty = view.tasks.stream().allMatch(t -> t.state == TaskState.EXITED);
+      long told = doomed.contains(view.machine) ? 1 : 0;
+      if (empty && told == 0 && idleFor(view, now) > settings.operators().idleReturnS()) {
+        idle.add(seen);
+      }
+    }
+    if (!demandNow(now).isEmpty()) {
+      return;
+    }
+    double keep = Constants.HEADROOM_SHARE * total;
+    idle.sort(
+        Comparator.comparingDouble(
+            (Roster.Seen s) -> -price(flavors.get(s.view().kind), s.view().spot) / flavors.get(s.view().kind).cpus()));
+    for (Roster.Seen seen : idle) {
+      MachineView view = seen.view();
+      double cpus = flavors.get(view.kind).cpus();
+      boolean last = !view.spot && ordinaryInZone.getOrDefault(view.zone, 0) <= 1;
+      if (last || free - cpus < keep) {
+        continue;
+      }
+      free -= cpus;
+      if (!view.spot) {
+        ordinaryInZone.merge(view.zone, -1, Integer::sum);
+      }
+      links.ask(seen.owner(), new Release(view.machine, false));
+    }
+  }
+
+  private final Map<String, Long> idleSince = new HashMap<>();
+
+  /** Views are only told when they change, so the time since is counted here. */
+  private double idleFor(MachineView view, long now) {
+    idleSince.keySet().removeIf(name -> roster.get(name) == null);
+    boolean empty = view.tasks.stream().allMatch(t -> t.state == TaskState.EXITED);
+    if (!empty) {
+      idleSince.remove(view.machine);
+      return 0;
+    }
+    return (now - idleSince.computeIfAbsent(view.machine, m -> now)) / 1000.0;
+  }
+
+  // --- renting -----------------------------------------------------------------------------------------------
+
+  private static double price(Flavor flavor, boolean spot) {
+    return spot ? flavor.spotPrice() : flavor.price();
+  }
+
+  private List<DemandClass> demandNow(long now) {
+    List<DemandClass> all = new ArrayList<>(ownDemand.get());
+    demands.forEach(
+        (from, told) -> {
+          if (now - told.at < Constants.PEER_SILENCE_MS) {
+            all.addAll(told.classes);
+          }
+        });
+    all.sort(Comparator.comparingInt((DemandClass d) -> d.rank).thenComparingDouble(d -> -d.waitedS));
+    return all;
+  }
+
+  /** Rooms that are there or will be: machines that work or boot, and requests under way. */
+  private List<Room> supply() {
+    List<Room> rooms = new ArrayList<>();
+    for (Map.Entry<String, MachineOwner> e : share.machines().of().entrySet()) {
+      MachineOwner place = e.getValue();
+      Flavor flavor = flavors.get(place.kind());
+      if (flavor == null || returning.contains(e.getKey()) || doomed.contains(e.getKey())) {
+        continue;
+      }
+      Roster.Seen seen = roster.get(e.getKey());
+      Room room = room(e.getKey(), place.kind(), place.zone(), place.spot());
+      if (place.seen() && seen != null) {
+        MachineView view = seen.view();
+        boolean serves = view.state == MachineState.UP || view.state == MachineState.SYNCING;
+        if (!serves || view.faulty) {
+          continue;
+        }
+        for (TaskView t : view.tasks) {
+          if (t.state != TaskState.EXITED) {
+            room.take(t.cpus, t.gpus, t.ram);
+          }
+        }
+      }
+      rooms.add(room);
+    }
+    for (Hire hire : hires.values()) {
+      for (int i = 0; i < hire.number; i++) {
+        rooms.add(room(hire.name + "/" + i, hire.pool.kind, hire.pool.zone, hire.pool.spot));
+      }
+    }
+    return rooms;
+  }
+
+  private Room room(String name, String kind, String zone, boolean spot) {
+    Flavor f = flavors.get(kind);
+    return new Room(name, "", kind, zone, spot, true, f.cpus(), f.gpus(), f.ram());
+  }
+
+  private static Need need(DemandClass d) {
+    return new Need(
+        d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, false, d.scatter, d.standing,
+        d.tasks, Map.of(), Set.of(), Set.of());
+  }
+
+  private void rent(long now) {
+    List<Room> rooms = supply();
+    Map<Pool, Integer> wanted = new LinkedHashMap<>();
+    Planner planner = new Planner();
+    int machines = share.machines().of().size() + hires.values().stream().mapToInt(h -> h.number).sum();
+    int most = settings.operators().maxMachines() - machines;
+    for (DemandClass d : demandNow(now)) {
+      Need need = need(d);
+      Planner.Plan plan = planner.place(need, d.tasks, rooms, false);
+      int left = d.tasks - (plan == null ? 0 : plan.tasks());
+      while (left > 0 && most > 0) {
+        Pool pool = cheapest(need, left, rooms, wanted, now);
+        if (pool == null) {
+          break;
+        }
+        Room fresh = room("new/" + most, pool.kind, pool.zone, pool.spot);
+        wanted.merge(pool, 1, Integer::sum);
+        most--;
+        rooms.add(fresh);
+        Planner.Plan more = planner.place(need, left, List.of(fresh), false);
+        if (more == null) {
+          break;
+        }
+        left -= more.tasks();
+      }
+    }
+    double total = 0;
+    double free = 0;
+    for (Room room : rooms) {
+      total += room.cpus;
+      free += Math.max(0, room.freeCpus);
+    }
+    if (free < Constants.HEADROOM_SHARE * total && most > 0 && wanted.isEmpty()) {
+      Need any = new Need(1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of());
+      Pool pool = cheapest(any, 4, rooms, wanted, now);
+      if (pool != null) {
+        wanted.merge(pool, 1, Integer::sum);
+      }
+    }
+    wanted.forEach((pool, number) -> hire(pool, Math.min(number, Constants.HIRE_MOST), now));
+  }
+
+  private Pool cheapest(Need need, int left, List<Room> rooms, Map<Pool, Integer> wanted, long now) {
+    Pool best = null;
+    double bestPrice = 0;
+    double bestCrowd = 0;
+    for (Flavor flavor : flavors.values()) {
+      for (String zone : flavor.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Pool pool = new Pool(flavor.kind(), zone, spot);
+          Room room = room("", flavor.kind(), zone, spot);
+          int fits = Math.min(left, need.fitting(room));
+          boolean wants = need.allows(room) && fits > 0 && (!spot || settings.operators().useSpot());
+          if (!wants || pausedUntil.getOrDefault(pool, 0L) > now) {
+            continue;
+          }
+          double price = price(flavor, spot) / fits;
+          double crowd = rooms.stream().filter(r -> r.zone.equals(zone)).mapToDouble(r -> r.cpus).sum();
+          boolean better =
+              best == null
+                  || price < bestPrice - Constants.EPSILON
+                  || (price < bestPrice + Constants.EPSILON && crowd < bestCrowd);
+          if (better) {
+            best = pool;
+            bestPrice = price;
+            bestCrowd = crowd;
+          }
+        }
+      }
+    }
+    return best;
+  }
+
+  private void hire(Pool pool, int number, long now) {
+    if (!share.mapHasRoomFor(number)) {
+      log.error("the assignment map has no room for more machines");
+      troubleUntil = now + Constants.POOL_PAUSE_MS;
+      return;
+    }
+    Hire hire = new Hire(share.newHireName(), pool, number, now);
+    hires.put(hire.name, hire);
+    log.info("renting {} {} {} in zone {}", number, pool.spot ? "spot" : "ordinary", pool.kind, pool.zone);
+    send(hire);
+  }
+
+  private void send(Hire hire) {
+    cloud.hire(
+        hire.name,
+        hire.pool.kind,
+        hire.pool.zone,
+        hire.pool.spot,
+        hire.number,
+        (how, hosts) -> {
+          long now = loop.millis();
+          if (how == Hired.UNKNOWN && hires.containsKey(hire.name) && now - hire.since < 60_000) {
+            // The same name again: it rents nothing twice, and tells what the first one rented.
+            loop.after(Constants.CAPACITY_TICK_MS, () -> send(hire));
+            return;
+          }
+          hires.remove(hire.name);
+          if (how == Hired.RENTED) {
+            hosts.forEach(
+                host ->
+                    share.addMachine(
+                        new Share.NewMachine(host, "", hire.pool.kind, hire.pool.zone, hire.pool.spot)));
+          }
+          if (how == Hired.NO_CAPACITY || (how == Hired.RENTED && hosts.size() < hire.number)) {
+            pausedUntil.put(hire.pool, now + Constants.POOL_PAUSE_MS);
+          } else if (how == Hired.TROUBLE) {
+            troubleUntil = now + 2_000;
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/cli/Logging.java
@@ -0,0 +1,19 @@
+package org.sandford.cli;
+
+/** Sends the log to standard error at the level the platform names. */
+final class Logging {
+  private Logging() {}
+
+  static void configure(String level) {
+    String chosen =
+        switch (level == null ? "" : level) {
+          case "debug" -> "debug";
+          case "error" -> "error";
+          default -> "info";
+        };
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", chosen);
+    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/cloud/CloudClient.java
@@ -0,0 +1,184 @@
+package org.sandford.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.HttpCalls;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.core.TokenBucket;
+
+/** The cloud's interface as its protocol describes it, within its rate. */
+public final class CloudClient {
+  /** A machine as the lagging list shows it. */
+  public record Listed(
+      String name, String address, String kind, String zone, boolean spot, String status, double ageS) {}
+
+  /** How a rental request ended. */
+  public enum Hired {
+    RENTED,
+    NO_CAPACITY,
+    /** Not carried out; it may be sent again later. */
+    TROUBLE,
+    /** It may have been carried out: only the same request again tells. */
+    UNKNOWN
+  }
+
+  private final Loop loop;
+  private final HttpCalls http;
+  private final String address;
+  private final TokenBucket rate;
+  private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
+  private boolean waking;
+
+  public CloudClient(Loop loop, HttpCalls http, String address, double rps) {
+    this.loop = loop;
+    this.http = http;
+    this.address = address;
+    this.rate = new TokenBucket(loop, rps * Constants.CLOUD_RATE_SHARE);
+  }
+
+  /** Requests that still wait for the rate. */
+  public int backlog() {
+    return queue.size();
+  }
+
+  private void enqueue(Runnable send) {
+    queue.addLast(send);
+    pump();
+  }
+
+  private void pump() {
+    while (!queue.isEmpty() && rate.allows(1)) {
+      rate.take(1);
+      queue.pollFirst().run();
+    }
+    if (!queue.isEmpty() && !waking) {
+      waking = true;
+      loop.after(
+          Math.max(1, rate.waitMillis(1)),
+          () -> {
+            waking = false;
+            pump();
+          });
+    }
+  }
+
+  /** The kinds of machine, or null when they could not be read. */
+  public void flavors(Consumer<List<Flavor>> done) {
+    enqueue(
+        () ->
+            http.send(
+                address,
+                "GET",
+                "/flavors",
+                null,
+                Constants.CLOUD_CALL_MS,
+                reply -> {
+                  List<Flavor> flavors = new ArrayList<>();
+                  Json.read(reply.body()).path("machine_kinds").forEach(n -> flavors.add(Flavor.read(n)));
+                  done.accept(reply.ok() && !flavors.isEmpty() ? List.copyOf(flavors) : null);
+                }));
+  }
+
+  public void hire(
+      String name, String kind, String zone, boolean spot, int number, java.util.function.BiConsumer<Hired, List<String>> done) {
+    ObjectNode body =
+        Json.object()
+            .put("hire", name)
+            .put("machine_kind", kind)
+            .put("site", zone)
+            .put("reclaimable", spot)
+            .put("number", number);
+    enqueue(
+        () ->
+            http.send(
+                address,
+                "POST",
+                "/machines",
+                Json.bytes(body),
+                Constants.CLOUD_CALL_MS,
+                reply -> {
+                  JsonNode answer = Json.read(reply.body());
+                  List<String> hosts = new ArrayList<>();
+                  answer.path("hosts").forEach(host -> hosts.add(host.asText()));
+                  Hired how =
+                      switch (reply.status()) {
+                        case 200 -> Hired.RENTED;
+                        case 503 ->
+                            answer.path("error").asText().equals("no capacity")
+                                ? Hired.NO_CAPACITY
+                                : Hired.TROUBLE;
+                        case 400, 429, HttpCalls.Reply.NOT_SENT -> Hired.TROUBLE;
+                        default -> Hired.UNKNOWN;
+                      };
+                  done.accept(how, hosts);
+                }));
+  }
+
+  /** Returns machines; true only on the answer that they and all on them are gone. */
+  public void giveBack(List<String> machines, Consumer<Boolean> done) {
+    ObjectNode body = Json.object();
+    ArrayNode hosts = body.putArray("hosts");
+    machines.forEach(hosts::add);
+    enqueue(
+        () ->
+            http.send(
+                address,
+                "POST",
+                "/machines/return",
+                Json.bytes(body),
+                Constants.CLOUD_CALL_MS,
+                reply -> done.accept(reply.ok())));
+  }
+
+  /** The whole machine list, page by page, or null when a page failed. */
+  public void list(Consumer<List<Listed>> done) {
+    listFrom("", new ArrayList<>(), done);
+  }
+
+  private void listFrom(String since, List<Listed> sofar, Consumer<List<Listed>> done) {
+    String path =
+        "/machines?limit=" + Constants.LIST_PAGE
+            + (since.isEmpty() ? "" : "&since=" + java.net.URLEncoder.encode(since, StandardCharsets.UTF_8));
+    enqueue(
+        () ->
+            http.send(
+                address,
+                "GET",
+                path,
+                null,
+                Constants.CLOUD_CALL_MS,
+                reply -> {
+                  if (!reply.ok()) {
+                    done.accept(null);
+                    return;
+                  }
+                  JsonNode body = Json.read(reply.body());
+                  String last = since;
+                  for (JsonNode m : body.path("hosts")) {
+                    last = m.path("name_id").asText();
+                    sofar.add(
+                        new Listed(
+                            last,
+                            m.path("addr").asText(""),
+                            m.path("machine_kind").asText(),
+                            m.path("site").asText(),
+                            m.path("reclaimable").asBoolean(),
+                            m.path("status").asText(),
+                            m.path("held_s").asDouble()));
+                  }
+                  if (body.path("more").asBoolean() && !last.equals(since)) {
+                    listFrom(last, sofar, done);
+                  } else {
+                    done.accept(sofar);
+                  }
+                }));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -0,0 +1,218 @@
+package org.sandford.core;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.api.Api;
+import org.sandford.capacity.Capacity;
+import org.sandford.cloud.CloudClient;
+import org.sandford.job.Finals;
+import org.sandford.job.JobStore;
+import org.sandford.job.Jobs;
+import org.sandford.job.Lookup;
+import org.sandford.machine.Fleet;
+import org.sandford.machine.Roster;
+import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.Claim;
+import org.sandford.peer.wire.Claimed;
+import org.sandford.peer.wire.ClearTask;
+import org.sandford.peer.wire.Demand;
+import org.sandford.peer.wire.MachineSeen;
+import org.sandford.peer.wire.MapShown;
+import org.sandford.peer.wire.Preempt;
+import org.sandford.peer.wire.Release;
+import org.sandford.peer.wire.StartAnswer;
+import org.sandford.peer.wire.StartTask;
+import org.sandford.peer.wire.StopTask;
+import org.sandford.peer.wire.UserAnswer;
+import org.sandford.peer.wire.UserCall;
+import org.sandford.peer.wire.Views;
+import org.sandford.peer.wire.Yield;
+import org.sandford.peer.wire.Yielded;
+import org.sandford.settings.Settings;
+import org.sandford.share.Share;
+import org.sandford.state.RecordWriter;
+import org.sandford.state.StateClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: the slices, and who hears of what. All of it runs on one loop. */
+public final class Controller implements PeerLinks.Serving, PeerLinks.Asking, Share.Listener {
+  private static final Logger log = LoggerFactory.getLogger(Controller.class);
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final PeerLinks links;
+  private final Roster roster;
+  private final Fleet fleet;
+  private final Jobs jobs;
+  private final Finals finals = new Finals();
+  private final Capacity capacity;
+  private final Api api;
+  private long shownTeams;
+  private long shownMachines;
+
+  public Controller(Loop loop, Settings settings, HttpCalls http, PeerTransport peers) {
+    this.loop = loop;
+    this.settings = settings;
+    Settings.Facts facts = settings.facts();
+    StateClient state =
+        new StateClient(loop, http, settings.state().toString(), facts.stateRps(), facts.stateWriteRps());
+    CloudClient cloud = new CloudClient(loop, http, settings.cloud().toString(), facts.cloudRps());
+    JobStore store = new JobStore(loop, state);
+    Lookup lookup = new Lookup(state, finals);
+    share = new Share(loop, settings, state);
+    links = new PeerLinks(loop, settings, peers, share::incarnation);
+    roster = new Roster(share);
+    fleet = new Fleet(loop, settings, share, http, links, store, this::flavor, finals::contains);
+    jobs =
+        new Jobs(
+            loop, settings, share, links, roster,
+            new RecordWriter(loop, state, facts.stateTxnOps()), store, finals, lookup, this::flavor);
+    capacity = new Capacity(loop, settings, share, cloud, links, roster, jobs::demand);
+    api = new Api(loop, settings, share, links, jobs, fleet, finals, lookup, capacity);
+  }
+
+  private org.sandford.cloud.Flavor flavor(String kind) {
+    return capacity.flavor(kind);
+  }
+
+  /** Begins; runs on the loop. */
+  public void start() {
+    log.info("controller {} in zone {} starts", settings.label(), settings.zone());
+    share.start(this);
+    links.start(this, this);
+    fleet.start();
+    jobs.start();
+    capacity.start();
+    loop.every(Constants.PEER_BEAT_MS, this::beat);
+    loop.every(Constants.SUMMARY_MS, this::summary);
+  }
+
+  public Api api() {
+    return api;
+  }
+
+  private void beat() {
+    links.askOthers(new Demand(new ArrayList<>(jobs.demand())));
+    links.publish(PeerLinks.beat(share.holdValid()));
+    share.teamsToSpread()
+        .forEach((team, owner) -> links.ask(Share.labelOf(owner.owner()), new Yield(team, owner.generation())));
+  }
+
+  private void summary() {
+    log.info(
+        "{} open jobs, {} tasks waiting, {} teams, machines {}, leader {}, submissions p99 {} ms",
+        jobs.openJobs(),
+        jobs.waitingTasks(),
+        jobs.teamCount(),
+        fleet.states(),
+        share.leaderLabel(),
+        api.submitMillis().getValueAtPercentile(99));
+    api.submitMillis().reset();
+  }
+
+  // --- the share --------------------------------------------------------------------------------------
+
+  @Override
+  public void mapChanged() {
+    roster.mapChanged();
+    fleet.mapChanged();
+    jobs.mapChanged();
+    boolean newer =
+        share.teams().revision() > shownTeams || share.machines().revision() > shownMachines;
+    if (newer) {
+      shownTeams = share.teams().revision();
+      shownMachines = share.machines().revision();
+      // Shown to all: one that was cut off from the store must learn that it was replaced.
+      links.askOthers(share.show());
+    }
+  }
+
+  @Override
+  public void finalSeen(String job, JsonNode record) {
+    finals.put(job, record);
+    fleet.finalSeen(job);
+    jobs.finalSeen(job, record);
+  }
+
+  @Override
+  public void finalsMissed() {
+    fleet.finalsMissed();
+  }
+
+  // --- peers --------------------------------------------------------------------------------------------
+
+  @Override
+  public Iterable<Object> greeting() {
+    return List.of(share.show(), fleet.allViews());
+  }
+
+  @Override
+  public void request(String from, Object message, Consumer<Object> answer) {
+    if (message instanceof UserCall call) {
+      api.called(call, answer);
+    } else if (message instanceof StartTask ask) {
+      fleet.startTask(ask, answer);
+    } else if (message instanceof StopTask ask) {
+      fleet.stopTask(ask);
+    } else if (message instanceof ClearTask ask) {
+      fleet.clearTask(ask);
+    } else if (message instanceof Preempt ask) {
+      fleet.preempt(ask);
+    } else if (message instanceof Claim claim) {
+      fleet.claim(claim, answer);
+    } else if (message instanceof Release ask) {
+      fleet.release(ask);
+    } else if (message instanceof Yield ask) {
+      if (jobs.yieldTeam(ask.team, ask.generation)) {
+        answer.accept(new Yielded(ask.team, ask.generation));
+      }
+    } else if (message instanceof Demand demand) {
+      capacity.demand(from, demand.classes);
+    } else if (message instanceof MachineSeen seen) {
+      if (share.leads()) {
+        share.addMachine(
+            new Share.NewMachine(seen.machine, seen.addr, seen.kind, seen.zone, seen.spot));
+      }
+    } else if (message instanceof MapShown map) {
+      share.shown(map);
+    } else {
+      log.info("{} sent {}, which nobody takes", from, message.getClass().getSimpleName());
+    }
+  }
+
+  @Override
+  public void told(String from, Object message) {
+    if (message instanceof Views views) {
+      roster.take(from, views);
+      jobs.views(from, views);
+    } else if (message instanceof StartAnswer answer) {
+      jobs.startAnswered(answer);
+    } else if (message instanceof Claimed answer) {
+      jobs.claimed(from, answer);
+    } else if (message instanceof UserAnswer answer) {
+      api.answered(answer);
+    } else if (message instanceof Yielded answer) {
+      share.teamYielded(answer.team, answer.generation);
+    } else if (message instanceof MapShown map) {
+      share.shown(map);
+    } else {
+      log.info("{} told {}, which nobody takes", from, message.getClass().getSimpleName());
+    }
+  }
+
+  @Override
+  public void linkUp(String peer) {
+    jobs.linkUp(peer);
+    links.ask(peer, share.show());
+  }
+
+  @Override
+  public void linkDown(String peer) {
+    log.debug("nothing is heard from {} for now", peer);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/core/Json.java
@@ -0,0 +1,52 @@
+package org.sandford.core;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+
+/** The one JSON mapper and the few turns of it that every slice needs. */
+public final class Json {
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  private Json() {}
+
+  public static ObjectNode object() {
+    return MAPPER.createObjectNode();
+  }
+
+  public static ArrayNode array() {
+    return MAPPER.createArrayNode();
+  }
+
+  /** The document, or a missing node when the bytes hold none. */
+  public static JsonNode read(byte[] bytes) {
+    try {
+      JsonNode node = MAPPER.readTree(bytes);
+      return node == null ? MissingNode.getInstance() : node;
+    } catch (IOException e) {
+      return MissingNode.getInstance();
+    }
+  }
+
+  public static JsonNode read(String text) {
+    return read(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
+
+  public static byte[] bytes(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsBytes(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a JSON tree could not be written", e);
+    }
+  }
+
+  public static String text(JsonNode node) {
+    return node.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/core/Loop.java
@@ -0,0 +1,35 @@
+package org.sandford.core;
+
+/** The one thread that owns all state, with its clock; tests put a simulated one in its place. */
+public interface Loop {
+  /** A timer that may be called off. */
+  interface Timer {
+    void cancel();
+  }
+
+  /** The steady clock, in nanoseconds. */
+  long nanos();
+
+  /** The time of day, in milliseconds; off by as much as the settings say. */
+  long wallMillis();
+
+  /** Runs on this loop after so many milliseconds. */
+  Timer after(long millis, Runnable what);
+
+  /** Runs on this loop after all that is queued already. */
+  void execute(Runnable what);
+
+  default long millis() {
+    return nanos() / 1_000_000;
+  }
+
+  /** Runs again and again, each time so many milliseconds after the last run ended. */
+  default void every(long millis, Runnable what) {
+    after(
+        millis,
+        () -> {
+          what.run();
+          every(millis, what);
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/core/TokenBucket.java
@@ -0,0 +1,41 @@
+package org.sandford.core;
+
+/** A rate with bursts of one second's worth, on the injected clock. */
+public final class TokenBucket {
+  private final Loop loop;
+  private final double perSecond;
+  private double tokens;
+  private long filledAt;
+
+  public TokenBucket(Loop loop, double perSecond) {
+    this.loop = loop;
+    this.perSecond = perSecond;
+    this.tokens = Math.max(1, perSecond);
+    this.filledAt = loop.nanos();
+  }
+
+  private void fill() {
+    long now = loop.nanos();
+    tokens = Math.min(Math.max(1, perSecond), tokens + perSecond * (now - filledAt) / 1e9);
+    filledAt = now;
+  }
+
+  /** Whether {@code count} may go now. More than a burst holds may go once the bucket is full. */
+  public boolean allows(double count) {
+    fill();
+    return tokens >= Math.min(count, Math.max(1, perSecond));
+  }
+
+  /** Takes them; the bucket may go below nothing, which delays what follows. */
+  public void take(double count) {
+    fill();
+    tokens -= count;
+  }
+
+  /** Milliseconds until {@code count} may go. */
+  public long waitMillis(double count) {
+    fill();
+    double missing = Math.min(count, Math.max(1, perSecond)) - tokens;
+    return missing <= 0 ? 0 : (long) Math.ceil(missing * 1000 / perSecond);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/Job.java
@@ -0,0 +1,263 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.RangeSet;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.sandford.core.Answer;
+import org.sandford.core.Json;
+import org.sandford.placement.Need;
+
+/** One job of a team that this controller owns, with its tasks. */
+final class Job {
+  /** Life of a job; the last two are for ever. */
+  enum Phase {
+    /** Its record is being written; nobody was told that it is accepted. */
+    STORING,
+    /** Accepted: its tasks wait or run. */
+    OPEN,
+    /** Its user asked to cancel it; the final record is being written. */
+    ABORTING,
+    DONE,
+    ABORTED;
+
+    boolean over() {
+      return this == DONE || this == ABORTED;
+    }
+  }
+
+  /** Life of a task that has, or may have, a place. One that waits has none of this. */
+  enum TaskPhase {
+    /** The machine's owner was asked to start it; the answer is awaited. */
+    REQUESTED,
+    /** The machine's owner took the start. */
+    PLACED,
+    RUNNING,
+    /** It was told to stop. */
+    STOPPING,
+    /** It is done, which is not stored yet. */
+    FINISHED
+  }
+
+  /** One attempt of a task on its machine. */
+  static final class Placed {
+    final int task;
+    final long attempt;
+    final String machine;
+    final long machineGeneration;
+    final String owner;
+    final int linkRound;
+    final String zone;
+    final long since;
+    private TaskPhase phase;
+    long runningSince;
+
+    Placed(int task, long attempt, String machine, long machineGeneration, String owner, int linkRound, String zone, TaskPhase phase, long since) {
+      this.task = task;
+      this.attempt = attempt;
+      this.machine = machine;
+      this.machineGeneration = machineGeneration;
+      this.owner = owner;
+      this.linkRound = linkRound;
+      this.zone = zone;
+      this.phase = phase;
+      this.since = since;
+    }
+
+    TaskPhase phase() {
+      return phase;
+    }
+
+    /** The one place where a task's phase changes; what is finished stays so. */
+    void becomes(TaskPhase next, long now) {
+      if (phase == TaskPhase.FINISHED || (phase == TaskPhase.STOPPING && next != TaskPhase.FINISHED)) {
+        return;
+      }
+      if (next == TaskPhase.RUNNING && phase != TaskPhase.RUNNING) {
+        runningSince = now;
+      }
+      phase = next;
+    }
+  }
+
+  /** A finished attempt that may be cleared from its worker once the record says so. */
+  record Clear(int task, long attempt, String machine) {}
+
+  final JobSpec spec;
+  final long acceptedAt;
+  /** It was loaded from the store: an earlier owner may have started its tasks. */
+  final boolean inherited;
+  private Phase phase;
+  long revision;
+  boolean dirty;
+  boolean writing;
+  boolean started;
+  final RangeSet<Integer> done = TaskRanges.empty();
+  final RangeSet<Integer> waiting = TaskRanges.empty();
+  int doneCount;
+  int waitingCount;
+  final Map<Integer, Placed> placed = new TreeMap<>();
+  final List<Clear> clears = new ArrayList<>();
+  final List<Consumer<Answer>> submitters = new ArrayList<>();
+  final List<Consumer<Answer>> aborters = new ArrayList<>();
+  final Set<String> avoid = new HashSet<>();
+  int failuresInRow;
+  String lastFailure = "";
+  long notBefore;
+  long preemptAgainAt;
+  long waitingSince;
+
+  Job(JobSpec spec, long acceptedAt, boolean inherited, Phase phase, long now) {
+    this.spec = spec;
+    this.acceptedAt = acceptedAt;
+    this.inherited = inherited;
+    this.phase = phase;
+    this.waitingSince = now;
+    waiting.add(TaskRanges.firstTasks(spec.tasks()));
+    waitingCount = spec.tasks();
+  }
+
+  Phase phase() {
+    return phase;
+  }
+
+  /** The one place where the job's phase changes. */
+  void becomes(Phase next) {
+    if (phase.over()) {
+      throw new IllegalStateException(spec.id() + " is " + phase + " and cannot become " + next);
+    }
+    phase = next;
+  }
+
+  boolean runnable() {
+    return phase == Phase.OPEN && waitingCount > 0;
+  }
+
+  boolean allDone() {
+    return !spec.standing() && doneCount == spec.tasks();
+  }
+
+  void inherit(RangeSet<Integer> finished) {
+    done.addAll(finished);
+    doneCount = TaskRanges.count(done);
+    waiting.removeAll(finished);
+    waitingCount = spec.tasks() - doneCount;
+  }
+
+  boolean isDone(int task) {
+    return done.contains(task);
+  }
+
+  void place(Placed at) {
+    placed.put(at.task, at);
+    if (waiting.contains(at.task)) {
+      waiting.remove(TaskRanges.one(at.task));
+      waitingCount--;
+    }
+  }
+
+  /** The attempt is surely over and did not finish: the task waits again. */
+  void unplace(Placed at, long now) {
+    if (placed.remove(at.task, at) && !isDone(at.task)) {
+      waiting.add(TaskRanges.one(at.task));
+      waitingCount++;
+      waitingSince = now;
+    }
+  }
+
+  void finish(int task) {
+    if (!isDone(task)) {
+      if (waiting.contains(task)) {
+        waiting.remove(TaskRanges.one(task));
+        waitingCount--;
+      }
+      done.add(TaskRanges.one(task));
+      doneCount++;
+      dirty = true;
+    }
+  }
+
+  /** Tasks that hold, or may hold, room on a machine. */
+  int holding() {
+    int n = 0;
+    for (Placed p : placed.values()) {
+      if (p.phase != TaskPhase.FINISHED) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  int running() {
+    int n = 0;
+    for (Placed p : placed.values()) {
+      if (p.phase == TaskPhase.RUNNING) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  Need need() {
+    Map<String, Integer> zones = new HashMap<>();
+    Set<String> machines = new HashSet<>();
+    for (Placed p : placed.values()) {
+      if (p.phase != TaskPhase.FINISHED) {
+        zones.merge(p.zone, 1, Integer::sum);
+        machines.add(p.machine);
+      }
+    }
+    return new Need(
+        spec.cpus(),
+        spec.gpus(),
+        spec.ram(),
+        spec.kinds(),
+        spec.zone(),
+        spec.reclaimable(),
+        spec.together(),
+        spec.scatter(),
+        spec.standing(),
+        spec.tasks(),
+        zones,
+        machines,
+        avoid);
+  }
+
+  ObjectNode record(int valueBytes) {
+    ObjectNode record = Json.object().put("a", acceptedAt);
+    record.set("s", spec.json());
+    int used = Json.bytes(record).length + 16;
+    record.set("d", TaskRanges.write(done, valueBytes - used));
+    return record;
+  }
+
+  ObjectNode finalRecord(String state) {
+    return Json.object().put("s", state).put("t", spec.team()).put("n", spec.tasks());
+  }
+
+  /** What the user is told now. */
+  ObjectNode status() {
+    String state =
+        switch (phase) {
+          case DONE -> "done";
+          case ABORTED -> "aborted";
+          default -> running() > 0 ? "running" : "queued";
+        };
+    ObjectNode node =
+        Json.object()
+            .put("name_id", spec.id())
+            .put("status", state)
+            .put("done", doneCount)
+            .put("running", running());
+    if (!phase.over() && !lastFailure.isEmpty()) {
+      node.put("reason", lastFailure);
+    }
+    return node;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/JobSpec.java
@@ -0,0 +1,93 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Set;
+import java.util.TreeSet;
+import org.sandford.core.Json;
+
+/** What a user submitted, checked, in the scheduler's own terms. */
+public record JobSpec(
+    String id,
+    String jobClass,
+    String team,
+    boolean standing,
+    Rank rank,
+    int tasks,
+    double cpus,
+    double gpus,
+    double ram,
+    Set<String> kinds,
+    String zone,
+    boolean together,
+    boolean scatter,
+    boolean reclaimable,
+    String image,
+    double imageGb,
+    double expectedS,
+    double saveEveryS,
+    double saveCostS,
+    double dueS) {
+
+  /** Priorities; the earlier go first. */
+  public enum Rank {
+    PRODUCTION,
+    URGENT,
+    NORMAL,
+    BEST_EFFORT
+  }
+
+  /** The compact form kept in the job's record and forwarded between controllers. */
+  public ObjectNode json() {
+    ObjectNode node =
+        Json.object()
+            .put("c", jobClass)
+            .put("t", team)
+            .put("k", standing ? 1 : 0)
+            .put("r", rank.ordinal())
+            .put("n", tasks)
+            .put("cpu", cpus)
+            .put("gpu", gpus)
+            .put("ram", ram)
+            .put("z", zone)
+            .put("to", together ? 1 : 0)
+            .put("sc", scatter ? 1 : 0)
+            .put("sp", reclaimable ? 1 : 0)
+            .put("i", image)
+            .put("ig", imageGb)
+            .put("e", expectedS)
+            .put("se", saveEveryS)
+            .put("sv", saveCostS)
+            .put("due", dueS);
+    if (!kinds.isEmpty()) {
+      kinds.forEach(node.putArray("m")::add);
+    }
+    return node;
+  }
+
+  public static JobSpec read(String id, JsonNode n) {
+    Set<String> kinds = new TreeSet<>();
+    n.path("m").forEach(kind -> kinds.add(kind.asText()));
+    return new JobSpec(
+        id,
+        n.path("c").asText(),
+        n.path("t").asText(),
+        n.path("k").asInt() == 1,
+        Rank.values()[n.path("r").asInt()],
+        n.path("n").asInt(),
+        n.path("cpu").asDouble(),
+        n.path("gpu").asDouble(),
+        n.path("ram").asDouble(),
+        Set.copyOf(kinds),
+        n.path("z").asText(""),
+        n.path("to").asInt() == 1,
+        n.path("sc").asInt() == 1,
+        n.path("sp").asInt() == 1,
+        n.path("i").asText(),
+        n.path("ig").asDouble(),
+        n.path("e").asDouble(),
+        n.path("se").asDouble(),
+        n.path("sv").asDouble(),
+        n.path("due").asDouble());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/JobStore.java
@@ -0,0 +1,67 @@
+package org.sandford.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.Loop;
+import org.sandford.state.StateClient;
+import org.sandford.state.StateClient.Entry;
+
+/**
+ * Where jobs stand in the store: an open job under {@code job/}, and from its end on only its final
+ * state under {@code fin/}. So a listing of open jobs stays short for ever.
+ */
+public final class JobStore {
+  static final String OPEN = "job/";
+  static final String FINAL = "fin/";
+
+  private final Loop loop;
+  private final StateClient state;
+  private List<Consumer<Map<String, Entry>>> next = new ArrayList<>();
+  private boolean listing;
+
+  public JobStore(Loop loop, StateClient state) {
+    this.loop = loop;
+    this.state = state;
+  }
+
+  /** The spec in an open job's record. */
+  public static JobSpec spec(String id, com.fasterxml.jackson.databind.JsonNode record) {
+    return JobSpec.read(id, record.path("s"));
+  }
+
+  /**
+   * Reads all open jobs. The listing begins after this call, so a job that is missing from it, and
+   * was stored before the call, has ended. It repeats until the store answers.
+   */
+  public void openJobs(Consumer<Map<String, Entry>> done) {
+    next.add(done);
+    list();
+  }
+
+  private void list() {
+    if (listing || next.isEmpty()) {
+      return;
+    }
+    listing = true;
+    List<Consumer<Map<String, Entry>>> waiting = next;
+    next = new ArrayList<>();
+    state.list(
+        OPEN,
+        (entries, epoch) -> {
+          listing = false;
+          if (entries == null) {
+            next.addAll(0, waiting);
+            loop.after(Constants.STATE_RETRY_MS, this::list);
+            return;
+          }
+          Map<String, Entry> jobs = new HashMap<>();
+          entries.forEach(e -> jobs.put(e.key().substring(OPEN.length()), e));
+          waiting.forEach(consumer -> consumer.accept(jobs));
+          list();
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -0,0 +1,1034 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.sandford.Constants;
+import org.sandford.cloud.Flavor;
+import org.sandford.core.Answer;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.job.Job.Placed;
+import org.sandford.job.Job.TaskPhase;
+import org.sandford.machine.Roster;
+import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.Claim;
+import org.sandford.peer.wire.Claimed;
+import org.sandford.peer.wire.ClearTask;
+import org.sandford.peer.wire.DemandClass;
+import org.sandford.peer.wire.ExitCause;
+import org.sandford.peer.wire.MachineState;
+import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.StartAnswer;
+import org.sandford.peer.wire.StartTask;
+import org.sandford.peer.wire.StopTask;
+import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.TaskView;
+import org.sandford.peer.wire.Views;
+import org.sandford.placement.Need;
+import org.sandford.placement.Planner;
+import org.sandford.placement.Room;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.AssignmentMap.TeamOwner;
+import org.sandford.share.Share;
+import org.sandford.state.RecordWriter;
+import org.sandford.state.StateClient.Op;
+import org.sandford.state.StateClient.Outcome;
+import org.sandford.state.StateClient.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The jobs of the teams that this controller owns. It alone decides attempts, quota and the state of
+ * these jobs; machines are commanded by their owners, whom it asks.
+ */
+public final class Jobs {
+  private static final Logger log = LoggerFactory.getLogger(Jobs.class);
+  private static final String TEAMS_KEY = "c/teams";
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final PeerLinks links;
+  private final Roster roster;
+  private final RecordWriter writer;
+  private final JobStore store;
+  private final Finals finals;
+  private final Lookup lookup;
+  private final Function<String, Flavor> flavors;
+  private final Planner planner = new Planner();
+  private final Map<String, Team> teams = new TreeMap<>();
+  private final Map<String, Job> jobs = new HashMap<>();
+  private final Map<String, Integer> linkRounds = new HashMap<>();
+  private boolean planning;
+  private long plannedAt;
+
+  public Jobs(
+      Loop loop,
+      Settings settings,
+      Share share,
+      PeerLinks links,
+      Roster roster,
+      RecordWriter writer,
+      JobStore store,
+      Finals finals,
+      Lookup lookup,
+      Function<String, Flavor> flavors) {
+    this.loop = loop;
+    this.settings = settings;
+    this.share = share;
+    this.links = links;
+    this.roster = roster;
+    this.writer = writer;
+    this.store = store;
+    this.finals = finals;
+    this.lookup = lookup;
+    this.flavors = flavors;
+  }
+
+  public void start() {
+    loop.every(Constants.PLAN_IDLE_MS, this::planSoon);
+  }
+
+  public int openJobs() {
+    return jobs.size();
+  }
+
+  public int waitingTasks() {
+    return jobs.values().stream().mapToInt(job -> job.waitingCount).sum();
+  }
+
+  public int teamCount() {
+    return teams.size();
+  }
+
+  // --- ownership ---------------------------------------------------------------------------------------
+
+  public void mapChanged() {
+    Map<String, TeamOwner> map = share.teams().of();
+    for (Team team : new ArrayList<>(teams.values())) {
+      TeamOwner owner = map.get(team.name);
+      if (owner == null || !owner.owner().equals(share.id()) || owner.generation() != team.generation) {
+        lose(team);
+      }
+    }
+    boolean gained = false;
+    for (Map.Entry<String, TeamOwner> e : map.entrySet()) {
+      if (e.getValue().owner().equals(share.id()) && !teams.containsKey(e.getKey())) {
+        gain(e.getKey(), e.getValue().generation());
+        gained = true;
+      }
+    }
+    if (gained) {
+      load();
+    }
+    // A machine that left the map is gone, and all that was on it: its return was answered.
+    for (Job job : jobs.values()) {
+      for (Placed p : new ArrayList<>(job.placed.values())) {
+        if (p.phase() != TaskPhase.FINISHED && !share.machines().of().containsKey(p.machine)) {
+          lost(job, p, "its machine " + p.machine + " is gone");
+        }
+      }
+    }
+    checkReady();
+    planSoon();
+  }
+
+  private void gain(String name, long generation) {
+    Settings.Team limits = settings.facts().teams().get(name);
+    if (limits == null) {
+      limits = new Settings.Team(name, 0, 0, 0, 0);
+    }
+    Team team = new Team(name, generation, limits);
+    teams.put(name, team);
+    log.info("team {} is ours, generation {}", name, generation);
+    claimAt(settings.label(), team);
+    settings.others().forEach(other -> claimAt(other.label(), team));
+  }
+
+  private void claimAt(String label, Team team) {
+    links.ask(label, new Claim(team.name, team.generation));
+  }
+
+  private void lose(Team team) {
+    log.info("team {} is no longer ours", team.name);
+    teams.remove(team.name);
+    for (Job job : team.jobs.values()) {
+      jobs.remove(job.spec.id());
+      Answer later = Answer.later(503, "the team's owner changes", Constants.RETRY_AUTHORITY_S);
+      job.submitters.forEach(s -> s.accept(later));
+      job.aborters.forEach(a -> a.accept(later));
+    }
+  }
+
+  /** The leader wants another controller to own the team. Nothing is said for it from here on. */
+  public boolean yieldTeam(String name, long generation) {
+    Team team = teams.get(name);
+    if (team == null || team.generation != generation || !team.speaks()) {
+      return false;
+    }
+    log.info("team {} is given up", name);
+    team.becomes(Team.Phase.YIELDED);
+    return true;
+  }
+
+  private void load() {
+    store.openJobs(
+        open -> {
+          for (Team team : teams.values()) {
+            if (team.phase() != Team.Phase.LOADING) {
+              continue;
+            }
+            open.forEach(
+                (id, entry) -> {
+                  JobSpec spec = JobStore.spec(id, entry.value());
+                  if (spec.team().equals(team.name) && !jobs.containsKey(id)) {
+                    Job job =
+                        new Job(spec, entry.value().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
+                    job.revision = entry.revision();
+                    job.inherit(TaskRanges.read(entry.value().path("d")));
+                    adopt(team, job);
+                  }
+                });
+            team.becomes(Team.Phase.SETTLING);
+            log.info("team {}: {} open jobs", team.name, team.jobs.size());
+          }
+          roster.all().forEach(seen -> takeView(seen.owner(), seen.view()));
+          for (Team team : teams.values()) {
+            team.jobs.values().forEach(this::tend);
+          }
+          checkReady();
+          planSoon();
+        });
+  }
+
+  private void adopt(Team team, Job job) {
+    team.jobs.put(job.spec.id(), job);
+    jobs.put(job.spec.id(), job);
+    lookup.remember(job.spec.id(), team.name);
+  }
+
+  private void checkReady() {
+    for (Team team : teams.values()) {
+      if (team.phase() != Team.Phase.SETTLING) {
+        continue;
+      }
+      Set<String> open = new HashSet<>();
+      share
+          .machines()
+          .of()
+          .forEach(
+              (name, place) -> {
+                if (place.seen() && !team.settled.contains(name)) {
+                  Roster.Seen seen = roster.get(name);
+                  if (seen != null && seen.view().settled && roster.current(seen) && team.claimed.contains(seen.owner())) {
+                    team.settled.add(name);
+                  } else {
+                    open.add(name);
+                  }
+                }
+              });
+      if (open.isEmpty()) {
+        team.becomes(Team.Phase.READY);
+        log.info("team {}: where its tasks are is known", team.name);
+        planSoon();
+      }
+    }
+  }
+
+  // --- peers -------------------------------------------------------------------------------------------
+
+  public void linkUp(String peer) {
+    linkRounds.merge(peer, 1, Integer::sum);
+    teams.values().forEach(team -> claimAt(peer, team));
+  }
+
+  public void claimed(String from, Claimed answer) {
+    Team team = teams.get(answer.team);
+    if (team != null && team.generation == answer.generation && answer.accepted) {
+      team.claimed.add(from);
+      checkReady();
+    }
+  }
+
+  /** Views that the roster has taken in already. */
+  public void views(String from, Views views) {
+    for (MachineView view : views.machines) {
+      Roster.Seen seen = roster.get(view.machine);
+      if (seen != null && seen.view() == view) {
+        takeView(from, view);
+      }
+    }
+    if (views.complete) {
+      dropUnanswered(from, views);
+    }
+    checkReady();
+    if (!views.machines.isEmpty()) {
+      planSoon();
+    }
+  }
+
+  /** A new link ends the old one at the far end, so a start that was not taken by then never will be. */
+  private void dropUnanswered(String from, Views views) {
+    int round = linkRounds.getOrDefault(from, 0);
+    Set<String> told = new HashSet<>();
+    views.machines.forEach(m -> m.tasks.forEach(t -> told.add(t.job + "/" + t.task + "@" + t.attempt)));
+    for (Job job : jobs.values()) {
+      for (Placed p : new ArrayList<>(job.placed.values())) {
+        if (p.phase() == TaskPhase.REQUESTED
+            && p.owner.equals(from)
+            && p.linkRound < round
+            && !told.contains(job.spec.id() + "/" + p.task + "@" + p.attempt)) {
+          unplace(job, p);
+        }
+      }
+    }
+  }
+
+  public void startAnswered(StartAnswer answer) {
+    Job job = jobs.get(answer.job);
+    Placed p = job == null ? null : job.placed.get(answer.task);
+    if (p == null || p.attempt != answer.attempt || p.phase() != TaskPhase.REQUESTED) {
+      return;
+    }
+    if (answer.accepted) {
+      p.becomes(TaskPhase.PLACED, loop.nanos());
+      if (job.phase() != Job.Phase.OPEN) {
+        stop(job, p, 0);
+      }
+    } else {
+      unplace(job, p);
+      job.notBefore = Math.max(job.notBefore, loop.millis() + Constants.REFUSED_RETRY_MS);
+      planSoon();
+    }
+  }
+
+  private void unplace(Job job, Placed p) {
+    job.unplace(p, loop.nanos());
+  }
+
+  private void takeView(String from, MachineView view) {
+    if (!view.settled) {
+      return;
+    }
+    Set<String> told = new HashSet<>();
+    for (TaskView task : view.tasks) {
+      told.add(task.job + "/" + task.task + "@" + task.attempt);
+      Job job = jobs.get(task.job);
+      if (job != null) {
+        takeTask(from, view, job, task);
+      }
+    }
+    for (Job job : jobs.values()) {
+      if (job.placed.isEmpty()) {
+        continue;
+      }
+      for (Placed p : new ArrayList<>(job.placed.values())) {
+        if (!p.machine.equals(view.machine)
+            || p.phase() == TaskPhase.FINISHED
+            || told.contains(job.spec.id() + "/" + p.task + "@" + p.attempt)) {
+          continue;
+        }
+        // A request under way is answered by its own answer, unless a newer owner settled the machine.
+        boolean asked = p.phase() == TaskPhase.REQUESTED;
+        if (view.generation > p.machineGeneration || (!asked && view.generation == p.machineGeneration)) {
+          if (asked) {
+            unplace(job, p);
+          } else {
+            lost(job, p, "it is no longer on machine " + view.machine);
+          }
+        }
+      }
+    }
+  }
+
+  private void takeTask(String from, MachineView view, Job job, TaskView task) {
+    long now = loop.nanos();
+    Placed p = job.placed.get(task.task);
+    boolean mine = p != null && p.attempt == task.attempt;
+    if (task.state == TaskState.EXITED) {
+      exited(job, mine ? p : null, view, task);
+      return;
+    }
+    if (job.isDone(task.task) && !mine) {
+      ask(view, new StopTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt, 0));
+      return;
+    }
+    if (p == null) {
+      // Found after a takeover.
+      p =
+          new Placed(
+              task.task, task.attempt, view.machine, view.generation, from,
+              linkRounds.getOrDefault(from, 0), view.zone, TaskPhase.PLACED, now);
+      job.place(p);
+      job.started = true;
+    } else if (!mine) {
+      log.error("{}/{} is on {} as attempt {} beside attempt {} on {}",
+          job.spec.id(), task.task, view.machine, task.attempt, p.attempt, p.machine);
+      ask(view, new StopTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt, 0));
+      return;
+    }
+    p.becomes(task.state == TaskState.RUNNING ? TaskPhase.RUNNING : p.phase() == TaskPhase.REQUESTED ? TaskPhase.PLACED : p.phase(), now);
+    if (task.state == TaskState.RUNNING) {
+      job.failuresInRow = 0;
+    }
+    if (job.phase() == Job.Phase.ABORTING) {
+      stop(job, p, 0);
+    } else if (view.state == MachineState.DRAINING && job.spec.saveEveryS() > 0 && p.phase() == TaskPhase.RUNNING) {
+      stop(job, p, (int) Math.ceil(job.spec.saveCostS()));
+    }
+  }
+
+  private long generation(Job job) {
+    return teams.get(job.spec.team()).generation;
+  }
+
+  private void exited(Job job, Placed p, MachineView view, TaskView task) {
+    if (task.cause == ExitCause.DONE && !job.spec.standing() && job.phase() == Job.Phase.OPEN) {
+      if (!job.isDone(task.task)) {
+        job.finish(task.task);
+        if (p == null) {
+          // Another attempt may still stand elsewhere; it is stopped once found.
+          Placed other = job.placed.get(task.task);
+          if (other != null) {
+            stop(job, other, 0);
+          }
+        }
+      }
+      if (p != null) {
+        p.becomes(TaskPhase.FINISHED, loop.nanos());
+        job.placed.remove(p.task, p);
+      }
+      Job.Clear clear = new Job.Clear(task.task, task.attempt, view.machine);
+      if (!job.clears.contains(clear)) {
+        job.clears.add(clear);
+        job.dirty = true;
+      }
+      tend(job);
+      return;
+    }
+    ask(view, new ClearTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt));
+    if (p == null) {
+      return;
+    }
+    unplace(job, p);
+    long pause =
+        switch (task.cause) {
+          case ERROR, UNKNOWN -> {
+            job.failuresInRow++;
+            job.avoid.add(view.machine);
+            job.lastFailure = "task " + task.task + " failed on machine " + view.machine + " in zone " + view.zone;
+            log.info("{}: {}", job.spec.id(), job.lastFailure);
+            long doubled = (long) Constants.ERROR_BACKOFF_MS << Math.min(job.failuresInRow - 1, 7);
+            yield Math.min(doubled, Constants.ERROR_BACKOFF_MAX_MS);
+          }
+          case NO_ROOM, BUSY -> Constants.REFUSED_RETRY_MS;
+          default -> 0L;
+        };
+    job.notBefore = Math.max(job.notBefore, loop.millis() + pause);
+    planSoon();
+  }
+
+  private void lost(Job job, Placed p, String why) {
+    log.info("{}/{} waits again: {}", job.spec.id(), p.task, why);
+    unplace(job, p);
+    planSoon();
+  }
+
+  private void ask(MachineView view, Object message) {
+    MachineOwner place = share.machines().of().get(view.machine);
+    if (place != null) {
+      links.ask(Share.labelOf(place.owner()), message);
+    }
+  }
+
+  private void stop(Job job, Placed p, int graceS) {
+    MachineOwner place = share.machines().of().get(p.machine);
+    if (place != null) {
+      links.ask(
+          Share.labelOf(place.owner()),
+          new StopTask(job.spec.team(), generation(job), p.machine, job.spec.id(), p.task, p.attempt, graceS));
+    }
+    if (p.phase() != TaskPhase.REQUESTED) {
+      p.becomes(TaskPhase.STOPPING, loop.nanos());
+    }
+  }
+
+  // --- users ---------------------------------------------------------------------------------------------
+
+  /** Whether this controller speaks for the team now. */
+  private Answer cannotSpeakFor(String team) {
+    Team owned = teams.get(team);
+    if (owned == null || !owned.speaks() || !share.holdValid()) {
+      return Answer.later(503, "no controller speaks for team " + team + " just now", Constants.RETRY_AUTHORITY_S);
+    }
+    return null;
+  }
+
+  public void submit(JobSpec spec, Consumer<Answer> answer) {
+    String ended = finals.get(spec.id());
+    if (ended != null) {
+      answer.accept(Answer.of(200, finalStatus(spec.id(), ended)));
+      return;
+    }
+    Answer refusal = cannotSpeakFor(spec.team());
+    if (refusal != null) {
+      answer.accept(refusal);
+      return;
+    }
+    Job known = jobs.get(spec.id());
+    if (known != null) {
+      if (known.phase() == Job.Phase.STORING) {
+        known.submitters.add(answer);
+      } else {
+        answer.accept(Answer.of(200, known.status()));
+      }
+      return;
+    }
+    if (writer.backlog() >= Constants.SUBMISSIONS_WAITING) {
+      answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
+      return;
+    }
+    Team team = teams.get(spec.team());
+    Job job = new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos());
+    job.submitters.add(answer);
+    adopt(team, job);
+    storeNew(job);
+  }
+
+  private Map<String, Long> newJobConditions(String id) {
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(JobStore.OPEN + id, 0L);
+    conditions.put(JobStore.FINAL + id, 0L);
+    conditions.put(TEAMS_KEY, share.teams().revision());
+    return conditions;
+  }
+
+  private void storeNew(Job job) {
+    String id = job.spec.id();
+    ObjectNode record = job.record(settings.facts().stateValueBytes());
+    writer.write(
+        new RecordWriter.Write(
+            newJobConditions(id),
+            List.of(Op.put(JobStore.OPEN + id, record)),
+            false,
+            result -> storedNew(job, result)));
+  }
+
+  private void storedNew(Job job, Result result) {
+    if (jobs.get(job.spec.id()) != job) {
+      return;
+    }
+    switch (result.outcome()) {
+      case DONE -> accepted(job, result.revision(), 201);
+      case REFUSED -> {
+        discard(job);
+        answerSubmitters(job, Answer.later(503, "the job could not be stored", Constants.RETRY_AUTHORITY_S));
+      }
+      case CONFLICT -> {
+        if (result.failed().contains(TEAMS_KEY)) {
+          discard(job);
+          answerSubmitters(job, Answer.later(503, "the teams' owners change", Constants.RETRY_AUTHORITY_S));
+        } else {
+          readBackNew(job);
+        }
+      }
+      case UNKNOWN -> {
+        answerSubmitters(job, Answer.later(503, "it is not known whether the job was stored", Constants.RETRY_AUTHORITY_S));
+        loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
+      }
+    }
+  }
+
+  private void accepted(Job job, long revision, int status) {
+    job.revision = revision;
+    job.becomes(Job.Phase.OPEN);
+    log.debug("{} is accepted", job.spec.id());
+    answerSubmitters(
+        job,
+        Answer.of(status, Json.object().put("name_id", job.spec.id()).put("status", "queued")));
+    planSoon();
+  }
+
+  private void discard(Job job) {
+    jobs.remove(job.spec.id(), job);
+    Team team = teams.get(job.spec.team());
+    if (team != null) {
+      team.jobs.remove(job.spec.id(), job);
+    }
+  }
+
+  private static void answerSubmitters(Job job, Answer answer) {
+    List<Consumer<Answer>> waiting = new ArrayList<>(job.submitters);
+    job.submitters.clear();
+    waiting.forEach(s -> s.accept(answer));
+  }
+
+  /** The store holds the job, or may: see what is there before anything else is written. */
+  private void readBackNew(Job job) {
+    if (jobs.get(job.spec.id()) != job || job.phase() != Job.Phase.STORING) {
+      return;
+    }
+    lookup.find(
+        job.spec.id(),
+        found -> {
+          if (jobs.get(job.spec.id()) != job || job.phase() != Job.Phase.STORING) {
+            return;
+          }
+          switch (found.kind()) {
+            case OPEN -> {
+              JobSpec stored = JobStore.spec(job.spec.id(), found.record());
+              if (stored.equals(job.spec)) {
+                accepted(job, found.revision(), 200);
+              } else {
+                // The id was used before, with another body: that first one is the job.
+                List<Consumer<Answer>> asking = new ArrayList<>(job.submitters);
+                discard(job);
+                Job first = jobs.get(job.spec.id());
+                ObjectNode status = first != null ? first.status() : storedStatus(job.spec.id(), found.record());
+                asking.forEach(a -> a.accept(Answer.of(200, status)));
+                reloadStray(stored, found);
+              }
+            }
+            case FINAL -> {
+              discard(job);
+              answerSubmitters(job, Answer.of(200, finalStatus(job.spec.id(), found.state())));
+            }
+            case NONE -> storeNew(job);
+            case UNKNOWN -> {
+              answerSubmitters(job, Answer.later(503, "the store does not answer", Constants.RETRY_AUTHORITY_S));
+              loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
+            }
+          }
+        });
+  }
+
+  /** A job stands in the store that should be known here, when its team is ours. */
+  private void reloadStray(JobSpec stored, Lookup.Found found) {
+    Team team = teams.get(stored.team());
+    if (team != null && team.speaks() && !jobs.containsKey(stored.id())) {
+      Job job = new Job(stored, found.record().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
+      job.revision = found.revision();
+      job.inherit(TaskRanges.read(found.record().path("d")));
+      adopt(team, job);
+      planSoon();
+    }
+  }
+
+  public static ObjectNode finalStatus(String id, String state) {
+    return Json.object().put("name_id", id).put("status", state);
+  }
+
+  /** What a fresh read of an open job's record tells. */
+  public static ObjectNode storedStatus(String id, JsonNode record) {
+    int done = TaskRanges.count(TaskRanges.read(record.path("d")));
+    return Json.object()
+        .put("name_id", id)
+        .put("status", done > 0 ? "running" : "queued")
+        .put("done", done)
+        .put("running", 0);
+  }
+
+  /** The state of a job of ours, or null when the caller has to ask the store. */
+  public Answer poll(String id) {
+    Job job = jobs.get(id);
+    if (job == null || job.phase() == Job.Phase.STORING || cannotSpeakFor(job.spec.team()) != null) {
+      return null;
+    }
+    return Answer.of(200, job.status());
+  }
+
+  /** Cancels a job of ours; false when it is not known here. */
+  public boolean abort(String id, Consumer<Answer> answer) {
+    Job job = jobs.get(id);
+    if (job == null) {
+      return false;
+    }
+    if (job.phase().over()) {
+      answer.accept(Answer.of(200, job.status()));
+      return true;
+    }
+    Answer refusal = cannotSpeakFor(job.spec.team());
+    if (refusal != null || job.phase() == Job.Phase.STORING) {
+      answer.accept(refusal != null ? refusal : Answer.later(503, "the job is just being stored", Constants.RETRY_AUTHORITY_S));
+      return true;
+    }
+    job.aborters.add(answer);
+    if (job.phase() == Job.Phase.OPEN && !job.allDone()) {
+      job.becomes(Job.Phase.ABORTING);
+      for (Placed p : new ArrayList<>(job.placed.values())) {
+        stop(job, p, 0);
+      }
+    }
+    tend(job);
+    return true;
+  }
+
+  /** Somebody stored this job's final state, possibly this controller. */
+  public void finalSeen(String id, JsonNode record) {
+    Job job = jobs.get(id);
+    if (job != null && !job.writing) {
+      ended(job, record.path("s").asText());
+    }
+  }
+
+  // --- records ---------------------------------------------------------------------------------------------
+
+  /** Writes what the record lacks; one write per job at a time. */
+  private void tend(Job job) {
+    if (job.writing || job.phase().over() || job.phase() == Job.Phase.STORING || jobs.get(job.spec.id()) != job) {
+      return;
+    }
+    if (job.phase() == Job.Phase.ABORTING) {
+      writeFinal(job, "aborted");
+    } else if (job.allDone()) {
+      writeFinal(job, "done");
+    } else if (job.dirty) {
+      writeProgress(job);
+    }
+  }
+
+  private Map<String, Long> recordConditions(Job job) {
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(JobStore.OPEN + job.spec.id(), job.revision);
+    conditions.put(TEAMS_KEY, share.teams().revision());
+    return conditions;
+  }
+
+  private void writeFinal(Job job, String state) {
+    job.writing = true;
+    String id = job.spec.id();
+    writer.write(
+        new RecordWriter.Write(
+            recordConditions(job),
+            List.of(Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
+            true,
+            result -> {
+              job.writing = false;
+              if (jobs.get(id) != job) {
+                return;
+              }
+              if (result.outcome() == Outcome.DONE) {
+                ended(job, state);
+              } else {
+                wroteBadly(job, result);
+              }
+            }));
+  }
+
+  private void writeProgress(Job job) {
+    job.writing = true;
+    job.dirty = false;
+    List<Job.Clear> clears = new ArrayList<>(job.clears);
+    ObjectNode record = job.record(settings.facts().stateValueBytes());
+    writer.write(
+        new RecordWriter.Write(
+            recordConditions(job),
+            List.of(Op.put(JobStore.OPEN + job.spec.id(), record)),
+            false,
+            result -> {
+              job.writing = false;
+              if (jobs.get(job.spec.id()) != job) {
+                return;
+              }
+              if (result.outcome() == Outcome.DONE) {
+                job.revision = result.revision();
+                var stored = TaskRanges.read(record.path("d"));
+                for (Job.Clear clear : clears) {
+                  if (stored.contains(clear.task())) {
+                    job.clears.remove(clear);
+                    clear(job, clear);
+                  }
+                }
+                tend(job);
+              } else {
+                job.dirty = true;
+                wroteBadly(job, result);
+              }
+            }));
+  }
+
+  private void clear(Job job, Job.Clear clear) {
+    MachineOwner place = share.machines().of().get(clear.machine());
+    Team team = teams.get(job.spec.team());
+    if (place != null && team != null) {
+      links.ask(
+          Share.labelOf(place.owner()),
+          new ClearTask(team.name, team.generation, clear.machine(), job.spec.id(), clear.task(), clear.attempt()));
+    }
+  }
+
+  private void wroteBadly(Job job, Result result) {
+    boolean ofTeams = result.failed().contains(TEAMS_KEY);
+    if (result.outcome() == Outcome.REFUSED || (result.outcome() == Outcome.CONFLICT && ofTeams)) {
+      if (result.outcome() == Outcome.REFUSED) {
+        answerAborters(job, Answer.later(503, "the store does not take the change", Constants.RETRY_AUTHORITY_S));
+      }
+      loop.after(Constants.STATE_RETRY_MS, () -> tend(job));
+      return;
+    }
+    job.writing = true;
+    loop.after(
+        Constants.STATE_RETRY_MS,
+        () ->
+            lookup.find(
+                job.spec.id(),
+                found -> {
+                  job.writing = false;
+                  if (jobs.get(job.spec.id()) != job) {
+                    return;
+                  }
+                  switch (found.kind()) {
+                    case FINAL -> ended(job, found.state());
+                    case OPEN -> {
+                      job.revision = found.revision();
+                      TaskRanges.read(found.record().path("d")).asRanges().forEach(r ->
+                          TaskRanges.first(com.google.common.collect.ImmutableRangeSet.of(r), Integer.MAX_VALUE)
+                              .forEach(job::finish));
+                      tend(job);
+                    }
+                    case NONE -> log.error("{} is missing from the store", job.spec.id());
+                    case UNKNOWN -> wroteBadly(job, result);
+                  }
+                }));
+  }
+
+  private static void answerAborters(Job job, Answer answer) {
+    List<Consumer<Answer>> waiting = new ArrayList<>(job.aborters);
+    job.aborters.clear();
+    waiting.forEach(a -> a.accept(answer));
+  }
+
+  /** The final state is stored: it may be told, and what is left of the job on machines has to go. */
+  private void ended(Job job, String state) {
+    job.becomes(state.equals("done") ? Job.Phase.DONE : Job.Phase.ABORTED);
+    log.debug("{} is {}", job.spec.id(), state);
+    finals.put(job.spec.id(), job.finalRecord(state));
+    answerAborters(job, Answer.of(200, finalStatus(job.spec.id(), state)));
+    for (Placed p : new ArrayList<>(job.placed.values())) {
+      stop(job, p, 0);
+    }
+    job.clears.forEach(clear -> clear(job, clear));
+    if (state.equals("done") || job.placed.isEmpty()) {
+      discard(job);
+    } else {
+      leave(job);
+    }
+    planSoon();
+  }
+
+  /** A cancelled job counts against its team until its tasks are gone, and is stopped till then. */
+  private void leave(Job job) {
+    if (job.placed.isEmpty() || jobs.get(job.spec.id()) != job) {
+      discard(job);
+      planSoon();
+      return;
+    }
+    loop.after(
+        Constants.PLAN_IDLE_MS,
+        () -> {
+          if (jobs.get(job.spec.id()) == job) {
+            new ArrayList<>(job.placed.values()).forEach(p -> stop(job, p, 0));
+            leave(job);
+          }
+        });
+  }
+
+  // --- planning ----------------------------------------------------------------------------------------------
+
+  private void planSoon() {
+    if (planning) {
+      return;
+    }
+    planning = true;
+    long since = loop.millis() - plannedAt;
+    loop.after(Math.max(1, Constants.PLAN_MS - since), this::plan);
+  }
+
+  private List<Job> queue() {
+    List<Job> queue = new ArrayList<>();
+    long now = loop.millis();
+    for (Job job : jobs.values()) {
+      Team team = teams.get(job.spec.team());
+      if (team != null
+          && team.speaks()
+          && job.runnable()
+          && job.notBefore <= now
+          && (team.phase() == Team.Phase.READY || !job.inherited)) {
+        queue.add(job);
+      }
+    }
+    queue.sort(
+        Comparator.comparing((Job job) -> job.spec.rank())
+            .thenComparingLong(job -> job.acceptedAt)
+            .thenComparing(job -> job.spec.id()));
+    return queue;
+  }
+
+  /** Jobs that fail to find places as a class; the next of the class need not be tried in this round. */
+  private record LikeTasks(
+      double cpus, double gpus, double ram, Set<String> kinds, String zone, boolean reclaimable, boolean together, boolean scatter) {
+    static LikeTasks of(JobSpec s) {
+      return new LikeTasks(s.cpus(), s.gpus(), s.ram(), s.kinds(), s.zone(), s.reclaimable(), s.together(), s.scatter());
+    }
+  }
+
+  private void plan() {
+    planning = false;
+    plannedAt = loop.millis();
+    if (!share.holdValid()) {
+      return;
+    }
+    List<Job> queue = queue();
+    if (queue.isEmpty()) {
+      return;
+    }
+    List<Room> rooms = rooms();
+    Map<LikeTasks, Integer> hopeless = new HashMap<>();
+    for (Job job : queue) {
+      Team team = teams.get(job.spec.team());
+      int allowed = team.allowed(job.spec.cpus(), job.spec.gpus());
+      boolean whole = team.fitsWhole(job.spec) && !job.started;
+      int count = Math.min(job.waitingCount, allowed);
+      if (count == 0 || (whole && count < job.waitingCount)) {
+        continue;
+      }
+      LikeTasks like = LikeTasks.of(job.spec);
+      int need = whole ? count : 1;
+      boolean plain = job.placed.isEmpty() && job.avoid.isEmpty();
+      if (plain && hopeless.getOrDefault(like, Integer.MAX_VALUE) <= need) {
+        continue;
+      }
+      Planner.Plan plan = planner.place(job.need(), count, rooms, whole);
+      if (plan == null && !job.avoid.isEmpty()) {
+        // Better a machine on which it failed than none at all.
+        job.avoid.clear();
+        plan = planner.place(job.need(), count, rooms, whole);
+      }
+      if (plan == null) {
+        if (plain) {
+          hopeless.merge(like, need, Math::min);
+        }
+        continue;
+      }
+      carryOut(team, job, plan);
+    }
+  }
+
+  private void carryOut(Team team, Job job, Planner.Plan plan) {
+    long now = loop.nanos();
+    List<Integer> tasks = TaskRanges.first(job.waiting, plan.tasks());
+    int next = 0;
+    job.started = true;
+    for (Planner.Slot slot : plan.slots()) {
+      MachineOwner place = share.machines().of().get(slot.room().machine);
+      for (int i = 0; i < slot.tasks(); i++) {
+        int task = tasks.get(next++);
+        String owner = slot.room().owner;
+        Placed p =
+            new Placed(
+                task, team.nextAttempt(), slot.room().machine, place.generation(), owner,
+                linkRounds.getOrDefault(owner, 0), slot.room().zone, TaskPhase.REQUESTED, now);
+        job.place(p);
+        JobSpec s = job.spec;
+        boolean sent =
+            links.ask(
+                owner,
+                new StartTask(
+                    team.name, team.generation, p.machine, p.machineGeneration, s.id(), task, p.attempt,
+                    s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), s.image()));
+        if (!sent) {
+          unplace(job, p);
+        }
+      }
+    }
+  }
+
+  /** The free room of every machine whose owner can be asked now. */
+  private List<Room> rooms() {
+    Map<String, Room> rooms = new LinkedHashMap<>();
+    Set<String> told = new HashSet<>();
+    for (Roster.Seen seen : roster.all()) {
+      MachineView view = seen.view();
+      Flavor flavor = flavors.apply(view.kind);
+      boolean usable =
+          view.state == MachineState.UP
+              && !view.faulty
+              && flavor != null
+              && roster.current(seen)
+              && share.machines().of().get(view.machine).seen()
+              && links.live(seen.owner())
+              && roster.ownerActs(seen.owner())
+              && view.tasks.stream().allMatch(t -> t.known || t.state == TaskState.EXITED);
+      if (!usable) {
+        continue;
+      }
+      Room room =
+          new Room(
+              view.machine, seen.owner(), view.kind, view.zone, view.spot,
+              seen.owner().equals(settings.label()), flavor.cpus(), flavor.gpus(), flavor.ram());
+      for (TaskView t : view.tasks) {
+        if (t.state != TaskState.EXITED) {
+          room.take(t.cpus, t.gpus, t.ram);
+          told.add(t.job + "/" + t.task + "@" + t.attempt);
+        }
+      }
+      rooms.put(view.machine, room);
+    }
+    // Starts that their machine's owner has not told of yet take room as well.
+    for (Job job : jobs.values()) {
+      for (Placed p : job.placed.values()) {
+        Room room = rooms.get(p.machine);
+        if (room != null
+            && p.phase() != TaskPhase.FINISHED
+            && !told.contains(job.spec.id() + "/" + p.task + "@" + p.attempt)) {
+          room.take(job.spec.cpus(), job.spec.gpus(), job.spec.ram());
+        }
+      }
+    }
+    return new ArrayList<>(rooms.values());
+  }
+
+  /** What waits, by classes of like tasks, within the teams' limits. */
+  public List<DemandClass> demand() {
+    List<DemandClass> out = new ArrayList<>();
+    Map<String, double[]> left = new HashMap<>();
+    for (Job job : queue()) {
+      Team team = teams.get(job.spec.team());
+      JobSpec s = job.spec;
+      double[] room =
+          left.computeIfAbsent(
+              team.name,
+              n -> new double[] {team.limits.cpusMax() - team.cpusUsed(), team.limits.gpusMax() - team.gpusUsed()});
+      int n = job.waitingCount;
+      if (s.cpus() > 0) {
+        n = (int) Math.min(n, Math.floor((room[0] + Constants.EPSILON) / s.cpus()));
+      }
+      if (s.gpus() > 0) {
+        n = (int) Math.min(n, Math.floor((room[1] + Constants.EPSILON) / s.gpus()));
+      }
+      if (n <= 0) {
+        continue;
+      }
+      room[0] -= n * s.cpus();
+      room[1] -= n * s.gpus();
+      out.add(
+          new DemandClass(
+              s.team(), s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), n, s.reclaimable(), s.scatter(),
+              s.together(), s.standing(), new ArrayList<>(s.kinds()), s.zone(),
+              (loop.nanos() - job.waitingSince) / 1e9));
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/Lookup.java
@@ -0,0 +1,81 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.state.StateClient;
+
+/** Finds a job in the store: as an open one, then as an ended one. Only both misses prove that there is none. */
+public final class Lookup {
+  /** How a lookup ended. */
+  public enum Kind {
+    OPEN,
+    FINAL,
+    NONE,
+    UNKNOWN
+  }
+
+  public record Found(Kind kind, String team, String state, JsonNode record, long revision) {}
+
+  private static final Found NONE = new Found(Kind.NONE, "", "", null, 0);
+  private static final Found UNKNOWN = new Found(Kind.UNKNOWN, "", "", null, 0);
+
+  private final StateClient state;
+  private final Finals finals;
+  private final Cache<String, String> teams =
+      Caffeine.newBuilder().maximumSize(Constants.TEAMS_CACHED).executor(Runnable::run).build();
+
+  public Lookup(StateClient state, Finals finals) {
+    this.state = state;
+    this.finals = finals;
+  }
+
+  /** The team of a job, if it is remembered; it never changes. */
+  public String teamOf(String job) {
+    return teams.getIfPresent(job);
+  }
+
+  public void remember(String job, String team) {
+    teams.put(job, team);
+  }
+
+  public void find(String job, Consumer<Found> done) {
+    state.get(
+        JobStore.OPEN + job,
+        (open, known) -> {
+          if (!known) {
+            done.accept(UNKNOWN);
+          } else if (open != null) {
+            String team = JobStore.spec(job, open.value()).team();
+            remember(job, team);
+            done.accept(new Found(Kind.OPEN, team, "", open.value(), open.revision()));
+          } else {
+            findFinal(job, done);
+          }
+        });
+  }
+
+  /** An open job only ever moves to the finals, so this order of reading cannot miss it. */
+  private void findFinal(String job, Consumer<Found> done) {
+    state.get(
+        JobStore.FINAL + job,
+        (ended, known) -> {
+          if (!known) {
+            done.accept(UNKNOWN);
+          } else if (ended == null) {
+            done.accept(NONE);
+          } else {
+            finals.put(job, ended.value());
+            done.accept(
+                new Found(
+                    Kind.FINAL,
+                    ended.value().path("t").asText(),
+                    ended.value().path("s").asText(),
+                    ended.value(),
+                    ended.revision()));
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -0,0 +1,649 @@
+package org.sandford.machine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.sandford.Constants;
+import org.sandford.cloud.Flavor;
+import org.sandford.core.Answer;
+import org.sandford.core.HttpCalls;
+import org.sandford.core.HttpCalls.Reply;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.job.JobSpec;
+import org.sandford.job.JobStore;
+import org.sandford.machine.Machine.Entry;
+import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.Claim;
+import org.sandford.peer.wire.Claimed;
+import org.sandford.peer.wire.ClearTask;
+import org.sandford.peer.wire.MachineSeen;
+import org.sandford.peer.wire.MachineState;
+import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.Preempt;
+import org.sandford.peer.wire.Release;
+import org.sandford.peer.wire.StartAnswer;
+import org.sandford.peer.wire.StartTask;
+import org.sandford.peer.wire.StopTask;
+import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.Views;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.Share;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines of this controller's share. It alone commands and answers them, and tells the teams'
+ * owners what became of their tasks.
+ */
+public final class Fleet {
+  private static final Logger log = LoggerFactory.getLogger(Fleet.class);
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final HttpCalls http;
+  private final PeerLinks links;
+  private final JobStore jobs;
+  private final Function<String, Flavor> flavors;
+  private final Predicate<String> isFinal;
+  private final Map<String, Machine> machines = new TreeMap<>();
+  private final Map<String, Long> claims = new HashMap<>();
+  private final Map<String, JobSpec> specs = new HashMap<>();
+  private final Map<String, Long> announced = new HashMap<>();
+  private final Set<String> dirty = new LinkedHashSet<>();
+  private final Set<String> gone = new LinkedHashSet<>();
+  private boolean publishing;
+  private boolean learning;
+
+  public Fleet(
+      Loop loop,
+      Settings settings,
+      Share share,
+      HttpCalls http,
+      PeerLinks links,
+      JobStore jobs,
+      Function<String, Flavor> flavors,
+      Predicate<String> isFinal) {
+    this.loop = loop;
+    this.settings = settings;
+    this.share = share;
+    this.http = http;
+    this.links = links;
+    this.jobs = jobs;
+    this.flavors = flavors;
+    this.isFinal = isFinal;
+  }
+
+  public void start() {
+    loop.every(250, this::tick);
+  }
+
+  public int size() {
+    return machines.size();
+  }
+
+  // --- the map ----------------------------------------------------------------------------------------
+
+  public void mapChanged() {
+    long now = loop.nanos();
+    Map<String, MachineOwner> map = share.machines().of();
+    for (String name : new ArrayList<>(machines.keySet())) {
+      Machine machine = machines.get(name);
+      MachineOwner place = map.get(name);
+      boolean still =
+          place != null
+              && place.owner().equals(share.id())
+              && place.generation() == machine.place.generation();
+      if (!still) {
+        machines.remove(name);
+        dirty.remove(name);
+        gone.add(name);
+      } else if (place.seen() && !machine.place.seen()) {
+        // Its address is stored now, so from here on the machine may be given tasks.
+        Machine seen = new Machine(name, place, now);
+        seen.tenure = machine.tenure;
+        seen.answeredAt = machine.answeredAt;
+        machines.put(name, seen);
+        mark(seen);
+        sync(seen);
+      }
+    }
+    map.forEach(
+        (name, place) -> {
+          if (place.owner().equals(share.id()) && !machines.containsKey(name)) {
+            Machine machine = new Machine(name, place, now);
+            machines.put(name, machine);
+            gone.remove(name);
+            mark(machine);
+            sync(machine);
+          }
+        });
+    share.teams().of().forEach((team, owner) -> claims.merge(team, owner.generation(), Math::max));
+    if (!gone.isEmpty()) {
+      publishSoon();
+    }
+  }
+
+  // --- views --------------------------------------------------------------------------------------------
+
+  private void mark(Machine machine) {
+    dirty.add(machine.name);
+    publishSoon();
+  }
+
+  private void publishSoon() {
+    if (!publishing) {
+      publishing = true;
+      loop.after(Constants.PUBLISH_MS, this::publish);
+    }
+  }
+
+  /** Sends what changed. Called before every answer, so an answer never runs ahead of its view. */
+  private void publish() {
+    publishing = false;
+    if (dirty.isEmpty() && gone.isEmpty()) {
+      return;
+    }
+    long now = loop.nanos();
+    List<MachineView> views = new ArrayList<>();
+    for (String name : dirty) {
+      Machine machine = machines.get(name);
+      if (machine != null) {
+        views.add(machine.view(now));
+      }
+    }
+    Views message = new Views(false, views, new ArrayList<>(gone), share.holdValid());
+    dirty.clear();
+    gone.clear();
+    links.publish(message);
+  }
+
+  public Views allViews() {
+    long now = loop.nanos();
+    List<MachineView> views = new ArrayList<>();
+    machines.values().forEach(machine -> views.add(machine.view(now)));
+    return new Views(true, views, List.of(), share.holdValid());
+  }
+
+  // --- what team owners and the leader ask ------------------------------------------------------------------
+
+  private boolean current(String team, long generation) {
+    long known = claims.getOrDefault(team, 0L);
+    if (generation < known) {
+      return false;
+    }
+    claims.put(team, generation);
+    return true;
+  }
+
+  public void claim(Claim claim, Consumer<Object> answer) {
+    boolean accepted = current(claim.team, claim.generation);
+    publish();
+    answer.accept(new Claimed(claim.team, claim.generation, accepted));
+  }
+
+  public void startTask(StartTask ask, Consumer<Object> answer) {
+    String refusal = refusal(ask);
+    if (refusal == null) {
+      Machine machine = machines.get(ask.machine);
+      machine.accept(ask, loop.nanos());
+      machine.idleSince = 0;
+      mark(machine);
+      loop.execute(() -> command(machine));
+    } else {
+      log.debug("start of {}/{} on {} is refused: {}", ask.job, ask.task, ask.machine, refusal);
+    }
+    answer.accept(new StartAnswer(ask.job, ask.task, ask.attempt, ask.machine, refusal == null));
+    publish();
+  }
+
+  private String refusal(StartTask ask) {
+    Machine machine = machines.get(ask.machine);
+    if (!share.holdValid()) {
+      return "no valid hold";
+    }
+    if (!current(ask.team, ask.generation)) {
+      return "an old generation of the team";
+    }
+    if (machine == null || machine.place.generation() != ask.machineGeneration) {
+      return "not a machine of this share";
+    }
+    if (machine.state() != MachineState.UP || machine.faulty || !machine.place.seen() || !machine.mine()) {
+      return "the machine is " + machine.state();
+    }
+    if (isFinal.test(ask.job)) {
+      return "the job is over";
+    }
+    if (machine.holds(new TaskKey(ask.job, ask.task))) {
+      return "the task is on the machine";
+    }
+    Flavor flavor = flavors.apply(machine.place.kind());
+    if (flavor == null || !machine.allKnown()) {
+      return "the machine's room is not known";
+    }
+    double cpus = flavor.cpus();
+    double gpus = flavor.gpus();
+    double ram = flavor.ram();
+    for (Entry entry : machine.entries.values()) {
+      if (entry.onMachine()) {
+        cpus -= entry.cpus;
+        gpus -= entry.gpus;
+        ram -= entry.ram;
+      }
+    }
+    double e = Constants.EPSILON;
+    return ask.cpus <= cpus + e && ask.gpus <= gpus + e && ask.ram <= ram + e ? null : "no room";
+  }
+
+  public void stopTask(StopTask ask) {
+    if (current(ask.team, ask.generation)) {
+      stop(ask.machine, new TaskKey(ask.job, ask.task), ask.attempt, ask.graceS);
+    }
+  }
+
+  public void preempt(Preempt ask) {
+    if (share.holdValid()) {
+      log.info("{}/{} on {} makes room for team {}", ask.job, ask.task, ask.machine, ask.team);
+      stop(ask.machine, new TaskKey(ask.job, ask.task), ask.attempt, ask.graceS);
+    }
+  }
+
+  private void stop(String name, TaskKey task, long attempt, int graceS) {
+    Machine machine = machines.get(name);
+    Entry entry = machine == null ? null : machine.find(task, attempt);
+    if (entry == null || !entry.onMachine()) {
+      return;
+    }
+    if (entry.start == Machine.Start.QUEUED) {
+      machine.entries.remove(entry.key);
+      mark(machine);
+      return;
+    }
+    if (entry.stopGrace < 0 || graceS < entry.stopGrace) {
+      entry.stopGrace = graceS;
+      entry.stopSentAt = 0;
+      loop.execute(() -> command(machine));
+    }
+  }
+
+  public void clearTask(ClearTask ask) {
+    Machine machine = machines.get(ask.machine);
+    if (machine == null || !current(ask.team, ask.generation)) {
+      return;
+    }
+    Entry entry = machine.find(new TaskKey(ask.job, ask.task), ask.attempt);
+    if (entry != null && entry.state == TaskState.EXITED) {
+      entry.clear = true;
+    }
+  }
+
+  public void release(Release ask) {
+    Machine machine = machines.get(ask.machine);
+    if (machine == null) {
+      return;
+    }
+    if (ask.force || machine.empty()) {
+      if (machine.becomes(MachineState.RELEASED, ask.force ? "to be replaced" : "not needed")) {
+        mark(machine);
+      }
+    }
+    publish();
+  }
+
+  /** A job's final state is stored: whatever of it is still here has to go. */
+  public void finalSeen(String job) {
+    specs.remove(job);
+    for (Machine machine : machines.values()) {
+      for (Entry entry : new ArrayList<>(machine.entries.values())) {
+        if (entry.key.task().job().equals(job) && entry.onMachine()) {
+          stop(machine.name, entry.key.task(), entry.key.attempt(), 0);
+        }
+      }
+    }
+  }
+
+  /** Final states may have passed unseen: every job of the share is looked up again. */
+  public void finalsMissed() {
+    for (Machine machine : machines.values()) {
+      machine.entries.values().forEach(entry -> entry.known = false);
+    }
+    learn();
+  }
+
+  // --- reports ------------------------------------------------------------------------------------------------
+
+  public Answer hello(JsonNode body) {
+    WorkerReport report = WorkerReport.read(body);
+    if (report == null) {
+      return Answer.refuse(400, "not a worker's report");
+    }
+    MachineOwner place = share.machines().of().get(report.machine());
+    Machine machine = machines.get(report.machine());
+    if (machine == null || machine.superseded()) {
+      return elsewhere(report, place);
+    }
+    if (!machine.place.seen()) {
+      announce(report);
+    }
+    if (!share.mayRenewLeases()) {
+      return Answer.later(503, "this controller may not renew leases now", 1);
+    }
+    if (machine.stale(report)) {
+      return Answer.later(503, "a newer report is known", 1);
+    }
+    take(machine, report, true);
+    if (machine.superseded()) {
+      return elsewhere(report, place);
+    }
+    long now = loop.nanos();
+    machine.answeredAt = now;
+    ObjectNode answer = Json.object().put("fence", machine.token());
+    boolean startsToo =
+        machine.directFailures > 1 && machine.state() == MachineState.UP && share.holdValid();
+    answer.set("orders", machine.mine() ? machine.orders(false, startsToo, now) : Json.array());
+    return Answer.of(200, answer);
+  }
+
+  /** A machine of another share, or of none yet. */
+  private Answer elsewhere(WorkerReport report, MachineOwner place) {
+    announce(report);
+    String owner = place == null ? "" : Share.labelOf(place.owner());
+    ObjectNode answer = Json.object();
+    if (!owner.isEmpty() && !owner.equals(settings.label())) {
+      answer.put("reports_to", owner);
+    }
+    return Answer.of(421, answer);
+  }
+
+  /** Tells the leader of a machine that the map lacks, or lacks the address of. */
+  private void announce(WorkerReport report) {
+    MachineOwner place = share.machines().of().get(report.machine());
+    if (place != null && place.seen()) {
+      return;
+    }
+    long now = loop.nanos();
+    Long last = announced.get(report.machine());
+    if (last != null && now - last < Constants.LEADER_TICK_MS * 1_000_000L) {
+      return;
+    }
+    announced.put(report.machine(), now);
+    links.ask(
+        share.leaderLabel(),
+        new MachineSeen(report.machine(), report.address(), report.kind(), report.zone(), report.spot()));
+  }
+
+  private void take(Machine machine, WorkerReport said, boolean report) {
+    long now = loop.nanos();
+    machine.absorb(said, report, now);
+    boolean notice = !Double.isNaN(machine.noticeS);
+    if (machine.place.seen() && machine.mine() && !machine.superseded()) {
+      MachineState next = notice ? MachineState.DRAINING : MachineState.UP;
+      boolean settled = machine.seenToken == machine.token();
+      machine.becomes(
+          settled ? next : MachineState.SYNCING,
+          settled && notice ? "the cloud takes it back" : "its worker answers");
+    } else if (machine.state() == MachineState.LOST) {
+      machine.becomes(MachineState.SYNCING, "it is heard again");
+    }
+    describe(machine);
+    mark(machine);
+    if (machine.wantsDirect()) {
+      loop.execute(() -> command(machine));
+    }
+  }
+
+  /** Fills in what is known of tasks that came with a report, and looks up the rest. */
+  private void describe(Machine machine) {
+    boolean missing = false;
+    for (Entry entry : machine.entries.values()) {
+      if (entry.known) {
+        continue;
+      }
+      JobSpec spec = specs.get(entry.key.task().job());
+      if (spec == null) {
+        missing = true;
+      } else {
+        describe(entry, spec);
+      }
+    }
+    if (missing) {
+      learn();
+    }
+  }
+
+  private static void describe(Entry entry, JobSpec spec) {
+    entry.known = true;
+    entry.team = spec.team();
+    entry.rank = spec.rank().ordinal();
+    entry.cpus = spec.cpus();
+    entry.gpus = spec.gpus();
+    entry.ram = spec.ram();
+    entry.image = spec.image();
+  }
+
+  private void learn() {
+    if (learning) {
+      return;
+    }
+    learning = true;
+    List<Entry> asked = new ArrayList<>();
+    machines.values().forEach(m -> m.entries.values().stream().filter(e -> !e.known).forEach(asked::add));
+    jobs.openJobs(
+        open -> {
+          learning = false;
+          specs.clear();
+          open.forEach((id, entry) -> specs.put(id, JobStore.spec(id, entry.value())));
+          for (Machine machine : machines.values()) {
+            boolean changed = false;
+            for (Entry entry : new ArrayList<>(machine.entries.values())) {
+              if (entry.known) {
+                continue;
+              }
+              JobSpec spec = specs.get(entry.key.task().job());
+              if (spec != null) {
+                describe(entry, spec);
+                changed = true;
+              } else if (asked.contains(entry)) {
+                // No open job: it has ended, since a task starts only once its job is stored.
+                orphan(machine, entry);
+              }
+            }
+            if (changed) {
+              mark(machine);
+            }
+          }
+          machines.values().forEach(this::describe);
+        });
+  }
+
+  private void orphan(Machine machine, Entry entry) {
+    if (entry.state == TaskState.EXITED) {
+      entry.clear = true;
+    } else {
+      stop(machine.name, entry.key.task(), entry.key.attempt(), 0);
+    }
+  }
+
+  // --- commands -------------------------------------------------------------------------------------------------
+
+  private boolean alive(Machine machine) {
+    return machines.get(machine.name) == machine;
+  }
+
+  private void command(Machine machine) {
+    boolean ready = machine.state() == MachineState.UP || machine.state() == MachineState.DRAINING;
+    if (!alive(machine) || !ready || machine.busyDirect || !machine.wantsDirect() || !share.holdValid()) {
+      return;
+    }
+    if (machine.directFailures > 1) {
+      return;
+    }
+    long now = loop.nanos();
+    ObjectNode body = Json.object().put("fence", machine.token()).put("tenure", machine.tenure);
+    body.set("orders", machine.orders(true, machine.state() == MachineState.UP, now));
+    List<Entry> batch = machine.sent();
+    machine.busyDirect = true;
+    http.send(
+        machine.place.address(),
+        "POST",
+        "/commands",
+        Json.bytes(body),
+        Constants.COMMAND_CALL_MS,
+        reply -> commanded(machine, batch, reply));
+  }
+
+  private void commanded(Machine machine, List<Entry> batch, Reply reply) {
+    machine.busyDirect = false;
+    if (!alive(machine)) {
+      return;
+    }
+    WorkerReport said = WorkerReport.read(Json.read(reply.body()));
+    switch (reply.status()) {
+      case 200 -> {
+        machine.directFailures = 0;
+        for (Entry entry : batch) {
+          if (entry.start == Machine.Start.SENT) {
+            entry.start = Machine.Start.SEEN;
+          }
+        }
+      }
+      case 409, 400, Reply.NOT_SENT -> {
+        // Nothing was carried out, nor will it be.
+        machine.drop(batch);
+        if (reply.status() == Reply.NOT_SENT) {
+          machine.directFailures++;
+        }
+        machine.becomes(MachineState.SYNCING, "commands do not get through: " + reply.status());
+        resyncLater(machine);
+      }
+      default -> {
+        // The commands may be carried out minutes from now; the raised token makes them void.
+        machine.pin(batch);
+        machine.directFailures++;
+        machine.becomes(MachineState.SYNCING, "commands went unanswered");
+        resyncLater(machine);
+      }
+    }
+    if (said != null && !machine.stale(said)) {
+      take(machine, said, false);
+    }
+    mark(machine);
+    command(machine);
+  }
+
+  private void resyncLater(Machine machine) {
+    loop.after(Constants.SYNC_RETRY_MS, () -> sync(machine));
+  }
+
+  /** Raises the token on a machine at once instead of waiting for its next report. */
+  private void sync(Machine machine) {
+    boolean wanted = machine.state() == MachineState.SYNCING || machine.state() == MachineState.LOST;
+    if (!alive(machine) || !wanted || machine.busyDirect || !machine.place.seen() || !share.holdValid()) {
+      return;
+    }
+    machine.busyDirect = true;
+    machine.syncTriedAt = loop.nanos();
+    if (machine.tenure == 0) {
+      http.send(
+          machine.place.address(),
+          "GET",
+          "/show",
+          null,
+          Constants.COMMAND_CALL_MS,
+          reply -> {
+            machine.busyDirect = false;
+            WorkerReport said = WorkerReport.read(Json.read(reply.body()));
+            if (alive(machine) && reply.ok() && said != null && !machine.stale(said)) {
+              take(machine, said, false);
+              sync(machine);
+            }
+          });
+      return;
+    }
+    ObjectNode body = Json.object().put("fence", machine.token()).put("tenure", machine.tenure);
+    body.putArray("orders");
+    http.send(
+        machine.place.address(),
+        "POST",
+        "/commands",
+        Json.bytes(body),
+        Constants.COMMAND_CALL_MS,
+        reply -> {
+          machine.busyDirect = false;
+          if (!alive(machine)) {
+            return;
+          }
+          WorkerReport said = WorkerReport.read(Json.read(reply.body()));
+          if (said != null && !machine.stale(said)) {
+            take(machine, said, false);
+          }
+          if (reply.ok()) {
+            machine.directFailures = 0;
+          }
+        });
+  }
+
+  // --- time -------------------------------------------------------------------------------------------------------
+
+  private void tick() {
+    long now = loop.nanos();
+    double lostAfter = settings.facts().reportS() * Constants.LOST_PERIODS;
+    for (Machine machine : machines.values()) {
+      double silent = (now - machine.heardAt) / 1e9;
+      boolean expected = machine.place.seen();
+      if (expected
+          && silent > lostAfter
+          && machine.state() != MachineState.LOST
+          && machine.state() != MachineState.RELEASED) {
+        machine.dropQueued();
+        machine.becomes(MachineState.LOST, String.format("silent for %.1f s", silent));
+        mark(machine);
+      }
+      if (machine.state() == MachineState.LOST && !machine.leaseOver && leaseOver(machine, now)) {
+        log.info("machine {} ({}): its lease is over, and with it its tasks", machine.name, machine.place.zone());
+        machine.leaseIsOver();
+        mark(machine);
+      }
+      boolean quiet = now - machine.syncTriedAt > Constants.SYNC_RETRY_MS * 1_000_000L;
+      if (quiet) {
+        sync(machine);
+      }
+      command(machine);
+    }
+    announced.values().removeIf(at -> now - at > 60_000_000_000L);
+  }
+
+  /**
+   * Whether the worker must have killed its tasks by now. It counts from the report that was last
+   * answered; one that has not seen this owner's token may have been answered by the former owner for
+   * as long as that one could renew leases.
+   */
+  private boolean leaseOver(Machine machine, long now) {
+    double drift = 1 + Constants.CLOCK_DRIFT;
+    double own = settings.facts().leaseS() * drift + Constants.KILL_MARGIN_S;
+    double foreign = settings.facts().cancelS() * drift + Constants.FOREIGN_LEASE_EXTRA_S;
+    long renewed = Math.max(machine.answeredAt, machine.mineAt);
+    boolean ownOver = renewed == Long.MIN_VALUE || (now - renewed) / 1e9 > own;
+    boolean foreignOver = machine.mine() || (now - machine.assignedAt) / 1e9 > foreign;
+    boolean heardOver = (now - machine.heardAt) / 1e9 > own;
+    return ownOver && foreignOver && heardOver;
+  }
+
+  public Map<String, Integer> states() {
+    Map<String, Integer> out = new LinkedHashMap<>();
+    machines.values().forEach(m -> out.merge(m.state().name().toLowerCase(java.util.Locale.ROOT), 1, Integer::sum));
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -0,0 +1,374 @@
+package org.sandford.machine;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.peer.wire.ExitCause;
+import org.sandford.peer.wire.MachineState;
+import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.StartTask;
+import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.TaskView;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One machine of this share: what its worker last said, which commands are under way, and which
+ * tasks it holds or may hold. It decides nothing about jobs.
+ */
+final class Machine {
+  private static final Logger log = LoggerFactory.getLogger(Machine.class);
+
+  /** How far the start of a task has got. */
+  enum Start {
+    /** The worker has it, or said so last. */
+    SEEN,
+    /** Accepted, not sent yet. */
+    QUEUED,
+    /** Sent directly; the answer is awaited. */
+    SENT,
+    /** Sent in the answer to a report; a later report tells. */
+    REPORTED,
+    /** Sent directly without an answer: it may be carried out until a raised token is seen. */
+    PINNED
+  }
+
+  record Key(TaskKey task, long attempt) {}
+
+  static final class Entry {
+    final Key key;
+    Start start = Start.SEEN;
+    TaskState state = TaskState.STARTING;
+    ExitCause cause = ExitCause.NONE;
+    boolean known;
+    String team = "";
+    int rank;
+    double cpus;
+    double gpus;
+    double ram;
+    String image = "";
+    long since;
+    long sentSerial;
+    long awaitToken;
+    int stopGrace = -1;
+    long stopSentAt;
+    boolean clear;
+
+    Entry(Key key, long now) {
+      this.key = key;
+      this.since = now;
+    }
+
+    boolean onMachine() {
+      return state != TaskState.EXITED;
+    }
+  }
+
+  final String name;
+  final MachineOwner place;
+  final long assignedAt;
+  private MachineState state;
+  private long step;
+  long tenure;
+  long serial;
+  long seenToken;
+  long heardAt;
+  long answeredAt = Long.MIN_VALUE;
+  long mineAt = Long.MIN_VALUE;
+  long idleSince;
+  double noticeS = Double.NaN;
+  boolean faulty;
+  boolean busyDirect;
+  int directFailures;
+  long syncTriedAt = Long.MIN_VALUE / 2;
+  boolean leaseOver;
+  final Map<Key, Entry> entries = new LinkedHashMap<>();
+  final Set<String> images = new LinkedHashSet<>();
+  private final Set<String> failedJobs = new HashSet<>();
+
+  Machine(String name, MachineOwner place, long now) {
+    this.name = name;
+    this.place = place;
+    this.assignedAt = now;
+    this.heardAt = now;
+    this.idleSince = now;
+    this.state = place.seen() ? MachineState.SYNCING : MachineState.WAITING;
+  }
+
+  MachineState state() {
+    return state;
+  }
+
+  /** The one place where the machine's state changes. */
+  boolean becomes(MachineState next, String why) {
+    if (state == next || state == MachineState.RELEASED) {
+      return false;
+    }
+    log.info("machine {} ({}): {} -> {}: {}", name, place.zone(), state, next, why);
+    state = next;
+    return true;
+  }
+
+  /** The fencing token: the generation, and above it how often this owner had to raise it. */
+  long token() {
+    return place.generation() * Constants.TOKENS_PER_GENERATION + step;
+  }
+
+  /** Makes every command sent so far void once the worker has seen the new token. */
+  void raiseToken() {
+    step++;
+  }
+
+  /** The worker has seen a token of this generation, so no former owner's command counts any more. */
+  boolean mine() {
+    return seenToken >= place.generation() * Constants.TOKENS_PER_GENERATION;
+  }
+
+  boolean superseded() {
+    return seenToken >= (place.generation() + 1) * Constants.TOKENS_PER_GENERATION;
+  }
+
+  Entry find(TaskKey task, long attempt) {
+    return entries.get(new Key(task, attempt));
+  }
+
+  boolean holds(TaskKey task) {
+    return entries.values().stream().anyMatch(e -> e.key.task().equals(task) && e.onMachine());
+  }
+
+  boolean empty() {
+    return entries.values().stream().noneMatch(Entry::onMachine);
+  }
+
+  boolean allKnown() {
+    return entries.values().stream().allMatch(e -> e.known || !e.onMachine());
+  }
+
+  /** Whether the tasks known here are all that the machine holds or may yet be made to hold. */
+  boolean settled() {
+    return !place.seen() || leaseOver || (mine() && !superseded());
+  }
+
+  /** Accepts a start; it goes out with the next commands. */
+  void accept(StartTask ask, long now) {
+    Entry entry = new Entry(new Key(new TaskKey(ask.job, ask.task), ask.attempt), now);
+    entry.start = Start.QUEUED;
+    entry.known = true;
+    entry.team = ask.team;
+    entry.rank = ask.rank;
+    entry.cpus = ask.cpus;
+    entry.gpus = ask.gpus;
+    entry.ram = ask.ram;
+    entry.image = ask.image;
+    entries.put(entry.key, entry);
+  }
+
+  /** Whether the message is older than what is known. */
+  boolean stale(WorkerReport report) {
+    return report.tenure() < tenure || (report.tenure() == tenure && report.serial() <= serial);
+  }
+
+  /** Takes in a newer message of the worker; {@code report} tells reports from answers to commands. */
+  void absorb(WorkerReport said, boolean report, long now) {
+    boolean newTenure = said.tenure() > tenure;
+    tenure = said.tenure();
+    serial = said.serial();
+    seenToken = Math.max(seenToken, said.token());
+    if (mine() && mineAt == Long.MIN_VALUE) {
+      mineAt = now;
+    }
+    heardAt = now;
+    leaseOver = false;
+    noticeS = said.noticeS();
+    Set<Key> seen = new HashSet<>();
+    for (WorkerReport.Held held : said.tasks()) {
+      Key key = new Key(held.key(), held.attempt());
+      seen.add(key);
+      Entry entry = entries.computeIfAbsent(key, k -> new Entry(k, now));
+      entry.start = Start.SEEN;
+      if (entry.state != held.state()) {
+        if (held.state() == TaskState.RUNNING) {
+          entry.since = now;
+          remember(entry.image);
+        }
+        if (held.state() == TaskState.EXITED) {
+          exited(entry, held.cause());
+        }
+        entry.state = held.state();
+      }
+      entry.cause = held.cause();
+    }
+    for (Iterator<Entry> it = entries.values().iterator(); it.hasNext(); ) {
+      Entry entry = it.next();
+      if (!seen.contains(entry.key) && settledAbsent(entry, said, report, newTenure)) {
+        it.remove();
+      }
+    }
+    if (empty()) {
+      idleSince = idleSince == 0 ? now : idleSince;
+    } else {
+      idleSince = 0;
+    }
+  }
+
+  /**
+   * Whether a task that this message does not name is surely not, and will not be, on the machine
+   * from the start that was sent. A report without it is no proof while a direct start may still be
+   * under way: commands can be held back and arrive minutes later.
+   */
+  private static boolean settledAbsent(Entry entry, WorkerReport said, boolean report, boolean newTenure) {
+    return switch (entry.start) {
+      case SEEN -> true;
+      case QUEUED -> false;
+      case SENT -> newTenure;
+      case REPORTED -> newTenure || (report && said.serial() > entry.sentSerial);
+      case PINNED -> newTenure || said.token() >= entry.awaitToken;
+    };
+  }
+
+  private void exited(Entry entry, ExitCause cause) {
+    if (cause == ExitCause.DONE) {
+      failedJobs.clear();
+    } else if (cause == ExitCause.ERROR) {
+      failedJobs.add(entry.key.task().job());
+      if (failedJobs.size() >= Constants.FAULTY_JOBS && !faulty) {
+        faulty = true;
+        log.info("machine {} ({}) fails every task: {}", name, place.zone(), failedJobs);
+      }
+    }
+  }
+
+  private void remember(String image) {
+    if (!image.isEmpty()) {
+      images.remove(image);
+      images.add(image);
+      if (images.size() > Constants.IMAGES_REMEMBERED) {
+        images.remove(images.iterator().next());
+      }
+    }
+  }
+
+  /** The worker's lease is surely over, and with it every task and every command of that tenure. */
+  void leaseIsOver() {
+    leaseOver = true;
+    entries.clear();
+  }
+
+  /** Orders to send now; those sent get marked. */
+  ArrayNode orders(boolean direct, boolean startsToo, long now) {
+    ArrayNode orders = Json.array();
+    for (Entry entry : entries.values()) {
+      if (startsToo && entry.start == Start.QUEUED && entry.stopGrace < 0) {
+        orders.add(order("start", entry));
+        entry.start = direct ? Start.SENT : Start.REPORTED;
+        entry.sentSerial = serial;
+      } else if (entry.stopGrace >= 0 && entry.onMachine() && entry.start != Start.QUEUED) {
+        boolean again = entry.state != TaskState.SAVING || entry.stopGrace == 0;
+        boolean due = !direct || now - entry.stopSentAt > Constants.COMMAND_CALL_MS * 1_000_000L;
+        if (again && due) {
+          orders.add(order("stop", entry).put("wind_down_s", entry.stopGrace));
+          entry.stopSentAt = now;
+        }
+      } else if (entry.clear && entry.state == TaskState.EXITED) {
+        orders.add(order("clear", entry));
+      }
+    }
+    return orders;
+  }
+
+  private static ObjectNode order(String verb, Entry entry) {
+    return Json.object()
+        .put("verb", verb)
+        .put("piece", entry.key.task().toString())
+        .put("try", entry.key.attempt());
+  }
+
+  boolean wantsDirect() {
+    for (Entry entry : entries.values()) {
+      if (entry.start == Start.QUEUED && entry.stopGrace < 0) {
+        return true;
+      }
+      if (entry.stopGrace >= 0 && entry.onMachine() && entry.stopSentAt == 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Starts of a batch whose outcome is unknown stay pinned until the raised token is seen. */
+  void pin(List<Entry> batch) {
+    raiseToken();
+    for (Entry entry : batch) {
+      if (entry.start == Start.SENT) {
+        entry.start = Start.PINNED;
+        entry.awaitToken = token();
+      }
+    }
+  }
+
+  List<Entry> sent() {
+    List<Entry> out = new ArrayList<>();
+    for (Entry entry : entries.values()) {
+      if (entry.start == Start.SENT) {
+        out.add(entry);
+      }
+    }
+    return out;
+  }
+
+  /** Drops starts that were surely not carried out. */
+  void drop(List<Entry> batch) {
+    for (Entry entry : batch) {
+      if (entry.start == Start.SENT) {
+        entries.remove(entry.key);
+      }
+    }
+  }
+
+  void dropQueued() {
+    entries.values().removeIf(entry -> entry.start == Start.QUEUED);
+  }
+
+  MachineView view(long now) {
+    List<TaskView> tasks = new ArrayList<>();
+    for (Entry e : entries.values()) {
+      tasks.add(
+          new TaskView(
+              e.key.task().job(),
+              e.key.task().task(),
+              e.key.attempt(),
+              e.state,
+              e.cause,
+              e.known,
+              e.team,
+              e.rank,
+              e.cpus,
+              e.gpus,
+              e.ram,
+              e.image,
+              (now - e.since) / 1e9));
+    }
+    return new MachineView(
+        name,
+        place.generation(),
+        state,
+        place.kind(),
+        place.zone(),
+        place.spot(),
+        tasks,
+        new ArrayList<>(images),
+        idleSince == 0 ? 0 : (now - idleSince) / 1e9,
+        faulty,
+        settled());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/machine/Roster.java
@@ -0,0 +1,68 @@
+package org.sandford.machine;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.Views;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.Share;
+
+/** What the owners of all shares last said of their machines. */
+public final class Roster {
+  /** A view with the label of the controller that gave it. */
+  public record Seen(String owner, MachineView view) {}
+
+  private final Share share;
+  private final Map<String, Seen> seen = new TreeMap<>();
+  private final Map<String, Boolean> holds = new HashMap<>();
+
+  public Roster(Share share) {
+    this.share = share;
+  }
+
+  /** Takes in views; those of an older generation than known are left out. */
+  public void take(String from, Views views) {
+    holds.put(from, views.holdValid);
+    if (views.complete) {
+      seen.values().removeIf(s -> s.owner.equals(from));
+    }
+    views.gone.forEach(name -> seen.computeIfPresent(name, (n, s) -> s.owner.equals(from) ? null : s));
+    for (MachineView view : views.machines) {
+      if (fresh(view)) {
+        seen.put(view.machine, new Seen(from, view));
+      }
+    }
+  }
+
+  public boolean fresh(MachineView view) {
+    Seen known = seen.get(view.machine);
+    return known == null || known.view.generation <= view.generation;
+  }
+
+  public void mapChanged() {
+    seen.keySet().removeIf(name -> !share.machines().of().containsKey(name));
+  }
+
+  public Collection<Seen> all() {
+    return seen.values();
+  }
+
+  public Seen get(String machine) {
+    return seen.get(machine);
+  }
+
+  /** Whether the view was given by the machine's owner of the map as it is known here. */
+  public boolean current(Seen s) {
+    MachineOwner place = share.machines().of().get(s.view.machine);
+    return place != null
+        && place.generation() == s.view.generation
+        && Share.labelOf(place.owner()).equals(s.owner);
+  }
+
+  /** Whether that controller said last that its hold is good. */
+  public boolean ownerActs(String label) {
+    return holds.getOrDefault(label, false);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/machine/TaskKey.java
@@ -0,0 +1,27 @@
+package org.sandford.machine;
+
+/** A task's name: its job and its number. */
+public record TaskKey(String job, int task) implements Comparable<TaskKey> {
+  static TaskKey read(String wire) {
+    int slash = wire.lastIndexOf('/');
+    if (slash <= 0) {
+      return null;
+    }
+    try {
+      return new TaskKey(wire.substring(0, slash), Integer.parseInt(wire.substring(slash + 1)));
+    } catch (NumberFormatException e) {
+      return null;
+    }
+  }
+
+  @Override
+  public int compareTo(TaskKey other) {
+    int byJob = job.compareTo(other.job);
+    return byJob != 0 ? byJob : Integer.compare(task, other.task);
+  }
+
+  @Override
+  public String toString() {
+    return job + "/" + task;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/machine/WorkerReport.java
@@ -0,0 +1,79 @@
+package org.sandford.machine;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.sandford.peer.wire.ExitCause;
+import org.sandford.peer.wire.TaskState;
+
+/** A worker's report, translated from its wire names. */
+public record WorkerReport(
+    String machine,
+    String address,
+    String kind,
+    String zone,
+    boolean spot,
+    long tenure,
+    long serial,
+    long token,
+    double noticeS,
+    List<Held> tasks) {
+
+  /** A task on the machine; exited ones stay until they are cleared. */
+  public record Held(TaskKey key, long attempt, TaskState state, ExitCause cause, boolean saved) {}
+
+  /** The report, or null when the document is none. */
+  public static WorkerReport read(JsonNode node) {
+    if (!node.isObject() || !node.path("host").isTextual() || !node.path("tenure").isIntegralNumber()) {
+      return null;
+    }
+    List<Held> tasks = new ArrayList<>();
+    for (JsonNode piece : node.path("pieces")) {
+      TaskKey key = TaskKey.read(piece.path("piece").asText());
+      if (key == null) {
+        return null;
+      }
+      tasks.add(
+          new Held(
+              key,
+              piece.path("try").asLong(),
+              state(piece.path("status").asText()),
+              cause(piece.path("exit_cause").asText()),
+              piece.path("saved").asBoolean()));
+    }
+    JsonNode notice = node.path("warning_s");
+    return new WorkerReport(
+        node.path("host").asText(),
+        node.path("addr").asText(""),
+        node.path("machine_kind").asText(),
+        node.path("site").asText(),
+        node.path("reclaimable").asBoolean(),
+        node.path("tenure").asLong(),
+        node.path("serial").asLong(),
+        node.path("fence").asLong(),
+        notice.isNumber() ? notice.asDouble() : Double.NaN,
+        tasks);
+  }
+
+  private static TaskState state(String wire) {
+    return switch (wire) {
+      case "pulling" -> TaskState.FETCHING;
+      case "saving" -> TaskState.SAVING;
+      case "ended" -> TaskState.EXITED;
+      // A state that is not known is on its machine, which is the careful reading.
+      default -> TaskState.RUNNING;
+    };
+  }
+
+  private static ExitCause cause(String wire) {
+    return switch (wire) {
+      case "" -> ExitCause.NONE;
+      case "done" -> ExitCause.DONE;
+      case "stopped" -> ExitCause.STOPPED;
+      case "full" -> ExitCause.NO_ROOM;
+      case "in_use" -> ExitCause.BUSY;
+      case "unknown" -> ExitCause.UNKNOWN;
+      default -> ExitCause.ERROR;
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/net/NettyHttpClient.java
@@ -0,0 +1,198 @@
+package org.sandford.net;
+
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.HttpCalls;
+import org.sandford.core.Loop;
+
+/** Keeps connections open per address; one request at a time on each, none pipelined. */
+public final class NettyHttpClient implements HttpCalls {
+  private static final int RESPONSE_BYTES = 64 * 1024 * 1024;
+  private static final Reply UNKNOWN = new Reply(Reply.UNKNOWN, new byte[0]);
+  private static final Reply NOT_SENT = new Reply(Reply.NOT_SENT, new byte[0]);
+
+  private final NettyLoop loop;
+  private final Bootstrap bootstrap;
+  private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
+
+  public NettyHttpClient(NettyLoop loop) {
+    this.loop = loop;
+    this.bootstrap =
+        new Bootstrap()
+            .group(loop.group())
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Constants.CONNECT_MS);
+  }
+
+  @Override
+  public void send(String address, String method, String path, byte[] body, long timeoutMs, Consumer<Reply> done) {
+    byte[] content = body == null ? new byte[0] : body;
+    FullHttpRequest request =
+        new DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, Unpooled.wrappedBuffer(content));
+    request.headers().set(HttpHeaderNames.HOST, address);
+    request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
+    if (body != null) {
+      request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+    }
+    Call call = new Call(done);
+    call.timer = loop.after(timeoutMs, call::timeout);
+    ArrayDeque<Connection> free = idle.get(address);
+    while (free != null && !free.isEmpty()) {
+      Connection connection = free.pollLast();
+      if (connection.channel.isActive()) {
+        connection.start(call, request);
+        return;
+      }
+    }
+    connect(address, call, request);
+  }
+
+  private void connect(String address, Call call, FullHttpRequest request) {
+    HostAndPort target = HostAndPort.fromString(address);
+    Connection connection = new Connection(address);
+    bootstrap
+        .clone()
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                channel
+                    .pipeline()
+                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(RESPONSE_BYTES), connection);
+              }
+            })
+        .connect(new InetSocketAddress(target.getHost(), target.getPort()))
+        .addListener(
+            (io.netty.channel.ChannelFuture future) -> {
+              if (!future.isSuccess()) {
+                request.release();
+                call.finish(NOT_SENT);
+              } else if (call.finished) {
+                // The caller was told NOT_SENT at its time limit, so nothing may go out any more.
+                request.release();
+                connection.channel = future.channel();
+                connection.park();
+              } else {
+                connection.channel = future.channel();
+                connection.start(call, request);
+              }
+            });
+  }
+
+  /** One request; answered exactly once. */
+  private static final class Call {
+    private final Consumer<Reply> done;
+    private Connection connection;
+    private Loop.Timer timer;
+    private boolean finished;
+
+    Call(Consumer<Reply> done) {
+      this.done = done;
+    }
+
+    void timeout() {
+      if (finished) {
+        return;
+      }
+      if (connection == null) {
+        finish(NOT_SENT);
+      } else {
+        Connection late = connection;
+        finish(UNKNOWN);
+        late.call = null;
+        late.channel.close();
+      }
+    }
+
+    void finish(Reply reply) {
+      if (!finished) {
+        finished = true;
+        if (timer != null) {
+          timer.cancel();
+        }
+        done.accept(reply);
+      }
+    }
+  }
+
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private final String address;
+    private Channel channel;
+    private Call call;
+
+    Connection(String address) {
+      this.address = address;
+    }
+
+    void start(Call next, FullHttpRequest request) {
+      call = next;
+      next.connection = this;
+      channel.writeAndFlush(request);
+    }
+
+    void park() {
+      idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      Call finished = call;
+      call = null;
+      Reply reply = new Reply(response.status().code(), ByteBufUtil.getBytes(response.content()));
+      if (HttpUtil.isKeepAlive(response) && finished != null) {
+        park();
+      } else {
+        ctx.close();
+      }
+      if (finished != null) {
+        finished.finish(reply);
+      }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      ArrayDeque<Connection> parked = idle.get(address);
+      if (parked != null) {
+        parked.remove(this);
+        if (parked.isEmpty()) {
+          idle.remove(address);
+        }
+      }
+      Call lost = call;
+      call = null;
+      if (lost != null) {
+        lost.finish(UNKNOWN);
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/net/NettyLoop.java
@@ -0,0 +1,62 @@
+package org.sandford.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.sandford.core.Loop;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The event loop of a running controller: one Netty thread for everything. */
+public final class NettyLoop implements Loop {
+  private static final Logger log = LoggerFactory.getLogger(NettyLoop.class);
+  private final NioEventLoopGroup group =
+      new NioEventLoopGroup(1, new DefaultThreadFactory("sandford", false));
+  private final EventLoop loop = group.next();
+
+  NioEventLoopGroup group() {
+    return group;
+  }
+
+  EventLoop eventLoop() {
+    return loop;
+  }
+
+  @Override
+  public long nanos() {
+    return System.nanoTime();
+  }
+
+  @Override
+  public long wallMillis() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public Timer after(long millis, Runnable what) {
+    Future<?> timer = loop.schedule(guarded(what), millis, TimeUnit.MILLISECONDS);
+    return () -> timer.cancel(false);
+  }
+
+  @Override
+  public void execute(Runnable what) {
+    loop.execute(guarded(what));
+  }
+
+  public void shutdown() {
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** A fault in one event is logged and must not end the loop, nor the timer that repeats itself. */
+  private static Runnable guarded(Runnable what) {
+    return () -> {
+      try {
+        what.run();
+      } catch (RuntimeException e) {
+        log.error("an event failed", e);
+      }
+    };
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/net/NettyPeers.java
@@ -0,0 +1,132 @@
+package org.sandford.net;
+
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import org.sandford.Constants;
+import org.sandford.core.PeerTransport;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Peer connections over TCP, each frame behind its length. */
+public final class NettyPeers implements PeerTransport {
+  private static final Logger log = LoggerFactory.getLogger(NettyPeers.class);
+  private final NettyLoop loop;
+  private final InetSocketAddress local;
+
+  public NettyPeers(NettyLoop loop, String host, int port) {
+    this.loop = loop;
+    this.local = new InetSocketAddress(host, port);
+  }
+
+  @Override
+  public void dial(String address, Handler handler) {
+    HostAndPort target = HostAndPort.fromString(address);
+    new Bootstrap()
+        .group(loop.group())
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, Constants.CONNECT_MS)
+        .handler(pipeline(() -> handler))
+        .connect(new InetSocketAddress(target.getHost(), target.getPort()))
+        .addListener(
+            future -> {
+              if (!future.isSuccess()) {
+                handler.closed(null);
+              }
+            });
+  }
+
+  @Override
+  public void listen(Supplier<Handler> handlers) {
+    new ServerBootstrap()
+        .group(loop.group())
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(pipeline(handlers))
+        .bind(local)
+        .addListener(
+            future -> {
+              if (!future.isSuccess()) {
+                log.error("cannot listen for peers on {}: {}", local, future.cause().toString());
+              }
+            });
+  }
+
+  private static ChannelInitializer<Channel> pipeline(Supplier<Handler> handlers) {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(Channel channel) {
+        channel
+            .pipeline()
+            .addLast(
+                new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_BYTES, 0, 4, 0, 4),
+                new LengthFieldPrepender(4),
+                new Frames(handlers.get()));
+      }
+    };
+  }
+
+  private static final class Frames extends SimpleChannelInboundHandler<ByteBuf>
+      implements Connection {
+    private final Handler handler;
+    private Channel channel;
+
+    Frames(Handler handler) {
+      this.handler = handler;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      channel = ctx.channel();
+      handler.opened(this);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+      handler.frame(this, ByteBufUtil.getBytes(frame));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      handler.closed(this);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      log.info("a peer link failed: {}", cause.toString());
+      ctx.close();
+    }
+
+    @Override
+    public void send(byte[] frame) {
+      if (channel.unsafe().outboundBuffer() != null
+          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > Constants.PEER_BACKLOG_BYTES) {
+        log.info("a peer does not read; its link is closed");
+        channel.close();
+        return;
+      }
+      channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+    }
+
+    @Override
+    public void close() {
+      channel.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/peer/PeerLinks.java
@@ -0,0 +1,337 @@
+package org.sandford.peer;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.Loop;
+import org.sandford.core.PeerTransport;
+import org.sandford.core.PeerTransport.Connection;
+import org.sandford.peer.wire.Hello;
+import org.sandford.peer.wire.Views;
+import org.sandford.peer.wire.Welcome;
+import org.sandford.settings.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The links between controllers. Each dials every other: requests go out on the dialled link, and
+ * answers and views come back on it. A controller reaches itself through the same calls.
+ *
+ * <p>A newer link from the same peer ends the older one before anything of it is read, so frames
+ * that a cut held back on an old connection change nothing.
+ */
+public final class PeerLinks {
+  private static final Logger log = LoggerFactory.getLogger(PeerLinks.class);
+
+  /** Takes what others ask. */
+  public interface Serving {
+    void request(String from, Object message, Consumer<Object> answer);
+
+    /** All that a new link must know at first. */
+    Iterable<Object> greeting();
+  }
+
+  /** Takes what others answer and tell. */
+  public interface Asking {
+    void told(String from, Object message);
+
+    void linkUp(String peer);
+
+    void linkDown(String peer);
+  }
+
+  /** The states of a dialled link. */
+  private enum Dialled {
+    IDLE,
+    DIALLING,
+    GREETING,
+    LIVE
+  }
+
+  private final Loop loop;
+  private final Settings settings;
+  private final PeerTransport transport;
+  private final FrameCodec codec = new FrameCodec();
+  private final java.util.function.LongSupplier incarnation;
+  private final Map<String, Out> outs = new LinkedHashMap<>();
+  private final Map<String, In> ins = new LinkedHashMap<>();
+  /** The newest greeting of each peer, kept when its link ends: a late older one stays refused. */
+  private final Map<String, Hello> newest = new LinkedHashMap<>();
+  private Serving serving;
+  private Asking asking;
+  private long sessions;
+
+  public PeerLinks(
+      Loop loop, Settings settings, PeerTransport transport, java.util.function.LongSupplier incarnation) {
+    this.loop = loop;
+    this.settings = settings;
+    this.transport = transport;
+    this.incarnation = incarnation;
+    for (Settings.Other other : settings.others()) {
+      outs.put(other.label(), new Out(other));
+    }
+  }
+
+  public void start(Serving serves, Asking asks) {
+    serving = serves;
+    asking = asks;
+    transport.listen(In::new);
+    loop.every(Constants.PEER_REDIAL_MS, this::tend);
+    tend();
+    loop.execute(
+        () -> {
+          asking.linkUp(settings.label());
+          serving.greeting().forEach(message -> asking.told(settings.label(), message));
+        });
+  }
+
+  private boolean self(String label) {
+    return label.equals(settings.label());
+  }
+
+  public boolean live(String label) {
+    if (self(label)) {
+      return true;
+    }
+    Out out = outs.get(label);
+    return out != null && out.state == Dialled.LIVE;
+  }
+
+  public boolean anyLive() {
+    return outs.values().stream().anyMatch(out -> out.state == Dialled.LIVE);
+  }
+
+  /** Sends a request; false when there is no live link. */
+  public boolean ask(String label, Object message) {
+    if (self(label)) {
+      loop.execute(() -> serving.request(label, message, answer -> loop.execute(() -> asking.told(label, answer))));
+      return true;
+    }
+    Out out = outs.get(label);
+    if (out == null || out.state != Dialled.LIVE) {
+      return false;
+    }
+    out.connection.send(codec.encode(message));
+    return true;
+  }
+
+  /** Sends a request to all with a live link but this controller. */
+  public void askOthers(Object message) {
+    byte[] frame = codec.encode(message);
+    outs.values().stream().filter(o -> o.state == Dialled.LIVE).forEach(o -> o.connection.send(frame));
+  }
+
+  /** Tells all that have dialled in, and this controller itself. */
+  public void publish(Object message) {
+    if (!ins.isEmpty()) {
+      byte[] frame = codec.encode(message);
+      ins.values().forEach(in -> in.connection.send(frame));
+    }
+    loop.execute(() -> asking.told(settings.label(), message));
+  }
+
+  private void tend() {
+    long now = loop.millis();
+    for (Out out : outs.values()) {
+      if (out.state == Dialled.IDLE && incarnation.getAsLong() > 0) {
+        out.dial();
+      } else if (out.state != Dialled.IDLE && now - out.heardAt > Constants.PEER_SILENCE_MS) {
+        out.end("it is silent");
+      }
+    }
+    for (In in : Map.copyOf(ins).values()) {
+      if (now - in.heardAt > Constants.PEER_SILENCE_MS) {
+        in.end("it is silent");
+      }
+    }
+  }
+
+  /** A link this controller dialled. */
+  private final class Out implements PeerTransport.Handler {
+    private final Settings.Other peer;
+    private Dialled state = Dialled.IDLE;
+    private Connection connection;
+    private long heardAt;
+    private int round;
+
+    Out(Settings.Other peer) {
+      this.peer = peer;
+    }
+
+    private void becomes(Dialled next) {
+      boolean was = state == Dialled.LIVE;
+      state = next;
+      if (next == Dialled.LIVE) {
+        log.info("the link to {} is up", peer.label());
+        asking.linkUp(peer.label());
+      } else if (was) {
+        log.info("the link to {} is down", peer.label());
+        asking.linkDown(peer.label());
+      }
+    }
+
+    void dial() {
+      becomes(Dialled.DIALLING);
+      heardAt = loop.millis();
+      int mine = ++round;
+      // Each try has a handler of its own, so a late event of an older one cannot touch this one.
+      transport.dial(
+          peer.address().toString(),
+          new PeerTransport.Handler() {
+            @Override
+            public void opened(Connection c) {
+              if (mine == round) {
+                Out.this.opened(c);
+              } else {
+                c.close();
+              }
+            }
+
+            @Override
+            public void frame(Connection c, byte[] bytes) {
+              if (mine == round) {
+                Out.this.frame(c, bytes);
+              }
+            }
+
+            @Override
+            public void closed(Connection c) {
+              if (mine == round) {
+                Out.this.closed(c);
+              }
+            }
+          });
+    }
+
+    @Override
+    public void opened(Connection c) {
+      connection = c;
+      becomes(Dialled.GREETING);
+      c.send(
+          codec.encode(
+              new Hello(settings.label(), incarnation.getAsLong(), ++sessions, FrameCodec.SCHEMA)));
+    }
+
+    @Override
+    public void frame(Connection c, byte[] bytes) {
+      Object message;
+      try {
+        message = codec.decode(bytes);
+      } catch (IOException e) {
+        end("it sent a broken frame: " + e.getMessage());
+        return;
+      }
+      heardAt = loop.millis();
+      if (message instanceof Welcome && state == Dialled.GREETING) {
+        becomes(Dialled.LIVE);
+      } else if (state == Dialled.LIVE) {
+        asking.told(peer.label(), message);
+      }
+    }
+
+    @Override
+    public void closed(Connection c) {
+      round++;
+      connection = null;
+      becomes(Dialled.IDLE);
+    }
+
+    void end(String why) {
+      log.debug("the link to {} is closed: {}", peer.label(), why);
+      round++;
+      Connection old = connection;
+      connection = null;
+      becomes(Dialled.IDLE);
+      if (old != null) {
+        old.close();
+      }
+    }
+  }
+
+  /** A link that a peer dialled. */
+  private final class In implements PeerTransport.Handler {
+    private Connection connection;
+    private String label = "";
+    private Hello hello;
+    private long heardAt;
+    private boolean ended;
+
+    @Override
+    public void opened(Connection c) {
+      connection = c;
+      heardAt = loop.millis();
+    }
+
+    @Override
+    public void frame(Connection c, byte[] bytes) {
+      if (ended) {
+        return;
+      }
+      Object message;
+      try {
+        message = codec.decode(bytes);
+      } catch (IOException e) {
+        end("it sent a broken frame: " + e.getMessage());
+        return;
+      }
+      heardAt = loop.millis();
+      if (hello == null) {
+        greet(message);
+      } else {
+        serving.request(label, message, this::answer);
+      }
+    }
+
+    private void answer(Object message) {
+      if (!ended) {
+        connection.send(codec.encode(message));
+      }
+    }
+
+    private void greet(Object message) {
+      if (!(message instanceof Hello said) || said.fingerprint != FrameCodec.SCHEMA || !outs.containsKey(said.label)) {
+        end("it did not greet as a controller with the same schema");
+        return;
+      }
+      Hello known = newest.get(said.label);
+      if (known != null
+          && (said.incarnation < known.incarnation
+              || (said.incarnation == known.incarnation && said.session <= known.session))) {
+        end("a newer link of " + said.label + " is known");
+        return;
+      }
+      newest.put(said.label, said);
+      In before = ins.get(said.label);
+      if (before != null) {
+        before.end("a newer link took its place");
+      }
+      hello = said;
+      label = said.label;
+      ins.put(label, this);
+      answer(new Welcome(settings.label(), incarnation.getAsLong()));
+      serving.greeting().forEach(this::answer);
+    }
+
+    @Override
+    public void closed(Connection c) {
+      if (!ended) {
+        ended = true;
+        ins.remove(label, this);
+      }
+    }
+
+    void end(String why) {
+      log.info("a link from {} is closed: {}", label.isEmpty() ? "an unknown peer" : label, why);
+      ended = true;
+      ins.remove(label, this);
+      connection.close();
+    }
+  }
+
+  /** An empty view, which keeps a link from looking silent. */
+  public static Views beat(boolean holdValid) {
+    return new Views(false, java.util.List.of(), java.util.List.of(), holdValid);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/placement/Need.java
@@ -0,0 +1,59 @@
+package org.sandford.placement;
+
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A class of like tasks of one job that look for places.
+ *
+ * @param kinds allowed kinds of machine; empty for any
+ * @param zone the only allowed zone, or empty
+ * @param total tasks of the whole job, from which the scatter limit follows
+ * @param zonesHeld tasks of the job by zone that are, or may be, on machines
+ * @param machinesHeld machines that hold tasks of the job
+ * @param avoid machines that this job must not use
+ */
+public record Need(
+    double cpus,
+    double gpus,
+    double ram,
+    Set<String> kinds,
+    String zone,
+    boolean reclaimable,
+    boolean together,
+    boolean scatter,
+    boolean standing,
+    int total,
+    Map<String, Integer> zonesHeld,
+    Set<String> machinesHeld,
+    Set<String> avoid) {
+
+  /** Whether the machine is of a kind, in a zone and of a sort that the job allows, room aside. */
+  public boolean allows(Room room) {
+    return (kinds.isEmpty() || kinds.contains(room.kind))
+        && (zone.isEmpty() || zone.equals(room.zone))
+        && (reclaimable || !room.spot)
+        && !avoid.contains(room.machine);
+  }
+
+  /** How many of the tasks the machine's free room holds. */
+  public int fitting(Room room) {
+    double e = org.sandford.Constants.EPSILON;
+    double most = Integer.MAX_VALUE;
+    if (cpus > 0) {
+      most = Math.min(most, (room.freeCpus + e) / cpus);
+    }
+    if (gpus > 0) {
+      most = Math.min(most, (room.freeGpus + e) / gpus);
+    }
+    if (ram > 0) {
+      most = Math.min(most, (room.freeRam + e) / ram);
+    }
+    return (int) Math.max(0, Math.floor(most));
+  }
+
+  /** Tasks of a scattered job that one zone may hold. */
+  public int scatterLimit() {
+    return scatter ? (total + 1) / 2 : Integer.MAX_VALUE;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -0,0 +1,166 @@
+package org.sandford.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.sandford.Constants;
+
+/**
+ * The design's placement: candidates by free room, the score, and the greedy plan. Like tasks are
+ * scored once as a class: a chosen machine is kept while room remains, so the cost of a plan grows
+ * with machines and not with tasks.
+ *
+ * <p>Pure: it reads and takes from the rooms it is given and knows nothing else.
+ */
+public final class Planner {
+  /** So many tasks on one machine. */
+  public record Slot(Room room, int tasks) {}
+
+  /** A plan with its score; lower is better. */
+  public record Plan(List<Slot> slots, double score, int tasks) {}
+
+  /** Counts scored candidates, so that tests can hold the cost of a decision. */
+  private long scored;
+
+  public long scored() {
+    return scored;
+  }
+
+  /**
+   * Places up to {@code count} tasks; the own share first, then the others. The rooms of the plan are
+   * taken from. Without a place for all, {@code allOrNone} yields null and takes nothing.
+   */
+  public Plan place(Need need, int count, Collection<Room> rooms, boolean allOrNone) {
+    if (!need.together()) {
+      return commit(need, count, attempt(need, count, rooms, need.zone()), allOrNone);
+    }
+    Plan best = null;
+    for (String zone : zonesFor(need, rooms)) {
+      Plan plan = attempt(need, count, rooms, zone);
+      if (plan.tasks > 0 && (best == null || plan.tasks > best.tasks || (plan.tasks == best.tasks && plan.score < best.score))) {
+        best = plan;
+      }
+    }
+    return commit(need, count, best, allOrNone);
+  }
+
+  /** A job that must stay together keeps the zone it has; otherwise every zone is tried. */
+  private static Set<String> zonesFor(Need need, Collection<Room> rooms) {
+    Set<String> held = new TreeSet<>();
+    need.zonesHeld().forEach((zone, n) -> {
+      if (n > 0) {
+        held.add(zone);
+      }
+    });
+    if (!held.isEmpty()) {
+      return held.size() == 1 ? held : Set.of();
+    }
+    Set<String> zones = new TreeSet<>();
+    rooms.forEach(room -> zones.add(room.zone));
+    return zones;
+  }
+
+  private static Plan commit(Need need, int count, Plan plan, boolean allOrNone) {
+    if (plan == null || plan.tasks == 0 || (allOrNone && plan.tasks < count)) {
+      return null;
+    }
+    for (Slot slot : plan.slots) {
+      slot.room.take(need.cpus() * slot.tasks, need.gpus() * slot.tasks, need.ram() * slot.tasks);
+    }
+    return plan;
+  }
+
+  /** The greedy plan in one zone, or in all when the zone is empty; takes nothing. */
+  private Plan attempt(Need need, int count, Collection<Room> rooms, String zone) {
+    List<Room> own = new ArrayList<>();
+    List<Room> others = new ArrayList<>();
+    for (Room room : rooms) {
+      if (need.allows(room) && (zone.isEmpty() || zone.equals(room.zone)) && need.fitting(room) > 0) {
+        (room.own ? own : others).add(room);
+      }
+    }
+    Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
+    Map<Room, Integer> taken = new HashMap<>();
+    List<Slot> slots = new ArrayList<>();
+    Set<String> machines = new HashSet<>(need.machinesHeld());
+    double[] score = {0};
+    int left = fill(need, count, own, zones, machines, taken, slots, score);
+    left = fill(need, left, others, zones, machines, taken, slots, score);
+    return new Plan(slots, score[0], count - left);
+  }
+
+  private int fill(
+      Need need,
+      int count,
+      List<Room> candidates,
+      Map<String, Integer> zones,
+      Set<String> machines,
+      Map<Room, Integer> taken,
+      List<Slot> slots,
+      double[] score) {
+    int left = count;
+    while (left > 0) {
+      Room best = null;
+      double bestScore = 0;
+      int bestInZone = 0;
+      for (Room room : candidates) {
+        int inZone = zones.getOrDefault(room.zone, 0);
+        if (inZone >= need.scatterLimit() || need.fitting(room) - taken.getOrDefault(room, 0) <= 0) {
+          continue;
+        }
+        scored++;
+        double s = score(need, room, zones, machines, taken.getOrDefault(room, 0));
+        boolean better;
+        if (best == null) {
+          better = true;
+        } else if (need.standing() && inZone != bestInZone) {
+          // Services spread evenly over zones, without the zone term.
+          better = inZone < bestInZone;
+        } else {
+          better = s < bestScore;
+        }
+        if (better) {
+          best = room;
+          bestScore = s;
+          bestInZone = inZone;
+        }
+      }
+      if (best == null) {
+        return left;
+      }
+      int most = Math.min(left, need.fitting(best) - taken.getOrDefault(best, 0));
+      most = Math.min(most, need.scatterLimit() - bestInZone);
+      int tasks = need.standing() ? 1 : most;
+      slots.add(new Slot(best, tasks));
+      score[0] += bestScore;
+      taken.merge(best, tasks, Integer::sum);
+      zones.merge(best.zone, tasks, Integer::sum);
+      machines.add(best.machine);
+      left -= tasks;
+    }
+    return 0;
+  }
+
+  /** What one more task on this machine adds to the plan's score. */
+  static double score(Need need, Room room, Map<String, Integer> zones, Set<String> machines, int taken) {
+    double cost = 0;
+    if (!machines.isEmpty() && !machines.contains(room.machine)) {
+      cost += Constants.COST_MACHINE;
+    }
+    boolean zoneHeld = zones.getOrDefault(room.zone, 0) > 0;
+    if (!need.standing() && !machines.isEmpty() && !zoneHeld) {
+      cost += Constants.COST_ZONE;
+    }
+    boolean byGpu = room.gpus > 0 && need.gpus() > 0;
+    double total = byGpu ? room.gpus : room.cpus;
+    double requested = byGpu ? need.gpus() : need.cpus();
+    double used = byGpu ? room.gpus - room.freeGpus : room.cpus - room.freeCpus;
+    double fitness = total <= 0 ? 0 : -(requested * (taken + 1) + used) / total;
+    return Constants.LAMBDA * cost + (1 - Constants.LAMBDA) * fitness;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/settings/Settings.java
@@ -0,0 +1,47 @@
+package org.sandford.settings;
+
+import java.util.List;
+import java.util.Map;
+
+/** Checked settings of one controller: the platform's TOML and the operators' INI together. */
+public record Settings(
+    String label,
+    String zone,
+    Endpoint listen,
+    Endpoint peerListen,
+    List<Other> others,
+    Endpoint cloud,
+    Endpoint state,
+    Facts facts,
+    Operators operators) {
+
+  public record Endpoint(String host, int port) {
+    @Override
+    public String toString() {
+      return host + ":" + port;
+    }
+  }
+
+  public record Other(String label, String zone, Endpoint address) {}
+
+  /** A team's guarantee and limit; 0 means none. */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+
+  public record Facts(
+      List<String> zones,
+      Map<String, Team> teams,
+      double reportS,
+      double leaseS,
+      double cancelS,
+      double stateRps,
+      double stateWriteRps,
+      int stateValueBytes,
+      int stateTxnOps,
+      double cloudRps,
+      double listLagS,
+      int sockets,
+      int controllers) {}
+
+  /** What the operators may set beside the platform's file. */
+  public record Operators(int maxMachines, boolean useSpot, double idleReturnS) {}
+}
