--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -407,8 +407,8 @@
 
   private static Need need(DemandClass d) {
     return new Need(
-        d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, false, d.scatter, d.standing,
-        d.tasks, Map.of(), Set.of(), Set.of());
+        d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing,
+        d.total, d.held, Set.of(), Set.of());
   }
 
   private void rent(long now) {
@@ -463,7 +463,9 @@
           Pool pool = new Pool(flavor.kind(), zone, spot);
           Room room = room("", flavor.kind(), zone, spot);
           int fits = Math.min(left, need.fitting(room));
-          boolean wants = need.allows(room) && fits > 0 && (!spot || settings.operators().useSpot());
+          boolean zoneFull = need.zonesHeld().getOrDefault(zone, 0) >= need.scatterLimit();
+          boolean wants =
+              need.allows(room) && fits > 0 && !zoneFull && (!spot || settings.operators().useSpot());
           if (!wants || pausedUntil.getOrDefault(pool, 0L) > now) {
             continue;
           }
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -1028,7 +1028,7 @@
           new DemandClass(
               s.team(), s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), n, s.reclaimable(), s.scatter(),
               s.together(), s.standing(), new ArrayList<>(s.kinds()), s.zone(),
-              (loop.nanos() - job.waitingSince) / 1e9));
+              (loop.nanos() - job.waitingSince) / 1e9, s.tasks(), job.need().zonesHeld()));
     }
     return out;
   }
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -0,0 +1,397 @@
+package org.sandford.scenario;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.sandford.core.Controller;
+import org.sandford.core.Json;
+import org.sandford.settings.Settings;
+
+/**
+ * Plays one scenario file: a cluster of stand-ins around real controllers, steps at set times, and
+ * expectations. The rules are checked all the time.
+ */
+final class Scenario {
+  /** A job as its user knows it. */
+  static final class Submitted {
+    String id;
+    String team = "red";
+    boolean standing;
+    String rank = "normal";
+    int tasks = 1;
+    double cpus = 1;
+    double ram = 1;
+    double runS = 5;
+    boolean spot;
+    boolean scatter;
+    boolean together;
+    boolean fails;
+    String zone = "";
+    double saveEveryS;
+    final Set<String> finished = new HashSet<>();
+    boolean abortAsked;
+    long abortedAt;
+    int status;
+    long lastAnswer;
+  }
+
+  private record Step(double at, String file, int line, String text, List<String> words) {}
+
+  final World world;
+  final Rules rules;
+  final Map<String, Server> servers = new HashMap<>();
+  final Map<String, Submitted> submitted = new TreeMap<>();
+  final List<String> zones = new ArrayList<>(List.of("a", "b"));
+  final Map<String, Double> teamMax = new LinkedHashMap<>();
+  final CloudStandIn cloud;
+  private final StoreStandIn store;
+  private final Map<String, SimPeers> peers = new HashMap<>();
+  private final Map<String, World.ProcessLoop> processes = new TreeMap<>();
+  private final Map<String, Controller> running = new TreeMap<>();
+  private final Map<String, Settings.Team> teams = new LinkedHashMap<>();
+  private final List<Step> steps = new ArrayList<>();
+  private final List<String> failures = new ArrayList<>();
+  int controllers = 3;
+  int poolSize = 4;
+  final double reportS = 2;
+  final double leaseS = 16;
+  final double cancelS = 46;
+  private int valueBytes = 16 * 1024;
+  private double until = 60;
+  private int machinesAtStart = 1;
+  private WorkerStandIn hung;
+
+  Scenario(String name, List<String> lines) {
+    long seed = 7;
+    for (int i = 0; i < lines.size(); i++) {
+      String line = lines.get(i).replaceAll("#.*", "").trim();
+      if (line.isEmpty()) {
+        continue;
+      }
+      List<String> words = List.of(line.split("\\s+"));
+      switch (words.get(0)) {
+        case "seed" -> seed = Long.parseLong(words.get(1));
+        case "controllers" -> controllers = Integer.parseInt(words.get(1));
+        case "pool" -> poolSize = Integer.parseInt(words.get(1));
+        case "machines" -> machinesAtStart = Integer.parseInt(words.get(1));
+        case "value_bytes" -> valueBytes = Integer.parseInt(words.get(1));
+        case "until" -> until = Double.parseDouble(words.get(1));
+        case "team" -> {
+          double guaranteed = Double.parseDouble(words.get(2));
+          double most = Double.parseDouble(words.get(3));
+          teamMax.put(words.get(1), most);
+          teams.put(words.get(1), new Settings.Team(words.get(1), guaranteed, most, 0, 0));
+        }
+        case "at" -> steps.add(
+            new Step(Double.parseDouble(words.get(1)), name, i + 1, line, words.subList(2, words.size())));
+        default -> throw new IllegalArgumentException(name + ":" + (i + 1) + ": not understood: " + line);
+      }
+    }
+    if (teams.isEmpty()) {
+      teamMax.put("red", 16.0);
+      teams.put("red", new Settings.Team("red", 8, 16, 0, 0));
+    }
+    world = new World(seed);
+    store = new StoreStandIn(world, valueBytes, 24);
+    cloud = new CloudStandIn(world, this);
+    rules = new Rules(world, this);
+    servers.put("store", store);
+    servers.put("cloud", cloud);
+  }
+
+  int random(int bound) {
+    return world.random.nextInt(bound);
+  }
+
+  /** Plays it and returns what went wrong: broken rules and expectations that were not met. */
+  List<String> play() {
+    for (String zone : zones) {
+      for (int i = 0; i < machinesAtStart; i++) {
+        cloud.rent(zone, false, 0.01);
+      }
+    }
+    for (int i = 0; i < controllers; i++) {
+      start("c" + i);
+    }
+    for (Step step : steps) {
+      world.runUntil(step.at);
+      carryOut(step);
+    }
+    world.runUntil(until);
+    List<String> wrong = new ArrayList<>(world.broken);
+    wrong.addAll(failures);
+    return wrong;
+  }
+
+  WorkerStandIn boot(CloudStandIn.Rented machine) {
+    WorkerStandIn worker = new WorkerStandIn(world, this, machine);
+    servers.put(machine.name, worker);
+    return worker;
+  }
+
+  private void start(String label) {
+    int index = Integer.parseInt(label.substring(1));
+    List<Settings.Other> others = new ArrayList<>();
+    for (int i = 0; i < controllers; i++) {
+      if (i != index) {
+        others.add(new Settings.Other("c" + i, zones.get(i % 2), new Settings.Endpoint("c" + i, 81)));
+      }
+    }
+    Settings settings =
+        new Settings(
+            label, zones.get(index % 2), new Settings.Endpoint(label, 80), new Settings.Endpoint(label, 81),
+            others, new Settings.Endpoint("cloud", 1), new Settings.Endpoint("store", 1),
+            new Settings.Facts(
+                zones, teams, reportS, leaseS, cancelS, 250, 50, valueBytes, 24, 5, 5, 500, controllers),
+            new Settings.Operators(20, true, 30));
+    World.ProcessLoop loop = world.new ProcessLoop((index - 1) * 0.0004);
+    Controller controller =
+        new Controller(
+            loop, settings, new SimHttp(world, loop, label, servers), new SimPeers(world, loop, label, peers));
+    processes.put(label, loop);
+    running.put(label, controller);
+    world.setDead(label, false);
+    servers.put(
+        label,
+        (from, method, path, body, respond) -> {
+          if (loop.alive) {
+            controller.api().take(method, path, body, a -> respond.accept(new Server.Response(a.status(), a.body())));
+          }
+        });
+    loop.execute(controller::start);
+  }
+
+  private void crash(String label) {
+    processes.get(label).alive = false;
+    running.remove(label);
+    world.setDead(label, true);
+  }
+
+  // --- steps ------------------------------------------------------------------------------------------------
+
+  private void carryOut(Step step) {
+    List<String> w = step.words;
+    switch (w.get(0)) {
+      case "submit" -> submit(w.get(1), options(w, 2));
+      case "resubmit" -> send(submitted.get(w.get(1)), submitted.get(w.get(1)).team, world.now());
+      case "abort" -> abort(submitted.get(w.get(1)));
+      case "ask" -> poll(w.get(1), anyController());
+      case "crash" -> each(w.get(1)).forEach(this::crash);
+      case "start" -> each(w.get(1)).forEach(this::start);
+      case "cut" -> world.cut(host(w.get(1)), host(w.get(2)), w.size() > 3 && w.get(3).equals("lose") ? World.Cut.LOSE : World.Cut.HOLD);
+      case "heal" -> world.heal(host(w.get(1)), host(w.get(2)));
+      case "refuse" -> store.refused.add(w.get(1));
+      case "admit" -> store.refused.remove(w.get(1));
+      case "outage" -> {
+        if (w.get(1).equals("store")) {
+          store.outage(w.get(2).equals("on"));
+        } else {
+          cloud.outage = w.get(2).equals("on");
+        }
+      }
+      case "boots" -> cloud.neverBoot = w.get(1).equals("never");
+      case "hang" -> {
+        hung = worker(w.get(1));
+        hung.hang(true);
+      }
+      case "resume" -> hung.hang(false);
+      case "die" -> worker(w.get(1)).die();
+      case "faulty" -> worker(w.get(1)).faulty = true;
+      case "notice" -> worker(w.get(1)).notice(Double.parseDouble(w.get(2)));
+      case "take" -> cloud.take(host(w.get(1)));
+      case "expect" -> expect(step, w);
+      default -> throw new IllegalArgumentException(step.file + ":" + step.line + ": not understood: " + step.text);
+    }
+  }
+
+  private List<String> each(String label) {
+    if (!label.equals("all")) {
+      return List.of(label);
+    }
+    List<String> out = new ArrayList<>();
+    for (int i = 0; i < controllers; i++) {
+      out.add("c" + i);
+    }
+    return out;
+  }
+
+  /** A host's name; {@code of:wk-1/0} is the machine that runs the task. */
+  private String host(String word) {
+    if (!word.startsWith("of:")) {
+      return word;
+    }
+    for (CloudStandIn.Rented m : cloud.machines.values()) {
+      if (m.worker != null
+          && m.worker.held.values().stream().anyMatch(t -> !t.ended() && t.piece.equals(word.substring(3)))) {
+        return m.name;
+      }
+    }
+    throw new IllegalStateException("no machine runs " + word.substring(3) + " at " + world.seconds());
+  }
+
+  private WorkerStandIn worker(String word) {
+    return cloud.machines.get(host(word)).worker;
+  }
+
+  private static Map<String, String> options(List<String> words, int from) {
+    Map<String, String> out = new HashMap<>();
+    for (String word : words.subList(from, words.size())) {
+      String[] kv = word.split("=", 2);
+      out.put(kv[0], kv.length > 1 ? kv[1] : "true");
+    }
+    return out;
+  }
+
+  private String anyController() {
+    List<String> up = new ArrayList<>(running.keySet());
+    return up.isEmpty() ? "c0" : up.get(world.random.nextInt(up.size()));
+  }
+
+  private void submit(String id, Map<String, String> o) {
+    Submitted job = new Submitted();
+    job.id = id;
+    job.team = o.getOrDefault("team", "red");
+    job.standing = o.containsKey("standing");
+    job.rank = o.getOrDefault("rank", "normal");
+    job.tasks = Integer.parseInt(o.getOrDefault("tasks", "1"));
+    job.cpus = Double.parseDouble(o.getOrDefault("cpus", "1"));
+    job.ram = Double.parseDouble(o.getOrDefault("ram", "1"));
+    job.runS = Double.parseDouble(o.getOrDefault("run", "5"));
+    job.spot = o.containsKey("spot");
+    job.scatter = o.containsKey("scatter");
+    job.together = o.containsKey("together");
+    job.fails = o.containsKey("fails");
+    job.zone = o.getOrDefault("zone", "");
+    job.saveEveryS = Double.parseDouble(o.getOrDefault("save", "0"));
+    submitted.put(id, job);
+    send(job, job.team, world.now());
+  }
+
+  private byte[] body(Submitted job, String team) {
+    ObjectNode b = Json.object();
+    b.put("name_id", job.id).put("job_class", "any").put("owner", team).put("rank", job.rank);
+    b.put("shape", job.standing ? "standing" : "array").put("pieces", job.tasks);
+    b.put("vcpus", job.cpus).put("accelerators", 0.0).put("ram_gb", job.ram).put("build", "img").put("image_gb", 1.0);
+    b.putNull("machine_kinds").putNull("due_s");
+    b.put("site", job.zone.isEmpty() ? null : job.zone);
+    b.put("together", job.together).put("scatter", job.scatter).put("reclaimable", job.spot);
+    b.put("expected_s", job.runS).put("save_every_s", job.saveEveryS).put("save_cost_s", 1.0);
+    return Json.bytes(b);
+  }
+
+  private interface Taken {
+    void answer(int status, JsonNode body);
+  }
+
+  private void request(String to, String method, String path, byte[] body, long patienceMs, Taken taken) {
+    boolean[] over = {false};
+    Taken once =
+        (status, answer) -> {
+          if (!over[0]) {
+            over[0] = true;
+            taken.answer(status, answer);
+          }
+        };
+    Server server = servers.get(to);
+    if (server == null || world.isDead(to)) {
+      world.after(1, () -> once.answer(0, Json.object()));
+      return;
+    }
+    world.after(patienceMs, () -> once.answer(0, Json.object()));
+    world.carry("users", to, () ->
+        server.take("users", method, path, body, r ->
+            world.carry(to, "users", () -> once.answer(r.status(), r.body()))));
+  }
+
+  private void send(Submitted job, String team, long since) {
+    request(anyController(), "POST", "/work", body(job, team), 5_000, (status, answer) -> {
+      job.status = status;
+      rules.answered(job.id, job, status, answer.path("status").asText());
+      if (status == 200 || status == 201) {
+        job.lastAnswer = world.now();
+        pollAgain(job);
+      } else if (status != 400 && status != 422 && world.now() - since < 60_000 * World.MS) {
+        world.after(1_000, () -> send(job, team, since));
+      }
+    });
+  }
+
+  private void pollAgain(Submitted job) {
+    world.after(1_000, () -> request(anyController(), "GET", "/work/" + job.id, new byte[0], 2_000, (status, answer) -> {
+      String state = answer.path("status").asText();
+      rules.answered(job.id, job, status, state);
+      if (status == 200) {
+        job.lastAnswer = world.now();
+      } else if (world.now() - job.lastAnswer > 90_000 * World.MS) {
+        world.broke("forgotten", "every poll for " + job.id + " failed for 90 s");
+      }
+      pollAgain(job);
+    }));
+  }
+
+  private void poll(String id, String controller) {
+    request(controller, "GET", "/work/" + id, new byte[0], 2_000, (status, answer) -> {
+      rules.answered(id, submitted.get(id), status, answer.path("status").asText());
+      if (!submitted.containsKey(id) && status != 404 && status != 503) {
+        world.broke("invented", id + " gets " + status);
+      }
+    });
+  }
+
+  private void abort(Submitted job) {
+    job.abortAsked = true;
+    request(anyController(), "POST", "/work/" + job.id + "/abort", new byte[0], 5_000, (status, answer) -> {
+      String state = answer.path("status").asText();
+      if (status == 200) {
+        rules.answered(job.id, job, status, state);
+        if (state.equals("aborted") && job.abortedAt == 0) {
+          job.abortedAt = world.now();
+        }
+      } else {
+        world.after(1_000, () -> abort(job));
+      }
+    });
+  }
+
+  // --- expectations --------------------------------------------------------------------------------------------
+
+  private int runningTasks(String id) {
+    int n = 0;
+    for (CloudStandIn.Rented m : cloud.machines.values()) {
+      if (m.worker != null) {
+        n += (int) m.worker.held.values().stream().filter(t -> t.on() && t.job.id.equals(id)).count();
+      }
+    }
+    return n;
+  }
+
+  private void expect(Step step, List<String> w) {
+    String got =
+        switch (w.get(1)) {
+          case "told" -> rules.told(w.get(2));
+          case "answer" -> String.valueOf(submitted.get(w.get(2)).status);
+          case "running" -> String.valueOf(runningTasks(w.get(2)));
+          case "started" -> String.valueOf(rules.started);
+          case "machines" -> String.valueOf(cloud.machines.size());
+          case "stored" -> String.valueOf(store.has(w.get(2)));
+          default -> throw new IllegalArgumentException(step.file + ":" + step.line + ": not understood: " + step.text);
+        };
+    String wanted = w.get(w.size() - 1);
+    boolean met =
+        wanted.startsWith(">=")
+            ? Integer.parseInt(got) >= Integer.parseInt(wanted.substring(2))
+            : wanted.startsWith("<=")
+                ? Integer.parseInt(got) <= Integer.parseInt(wanted.substring(2))
+                : got.equals(wanted);
+    if (!met) {
+      failures.add(step.file + ":" + step.line + ": " + step.text + ": got " + got);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/SimHttp.java
@@ -0,0 +1,58 @@
+package org.sandford.scenario;
+
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.core.HttpCalls;
+import org.sandford.core.Json;
+
+/** HTTP as one process makes it: held back by cuts, refused by dead hosts, given up after a time. */
+final class SimHttp implements HttpCalls {
+  private final World world;
+  private final World.ProcessLoop loop;
+  private final String host;
+  private final Map<String, Server> servers;
+
+  SimHttp(World world, World.ProcessLoop loop, String host, Map<String, Server> servers) {
+    this.world = world;
+    this.loop = loop;
+    this.host = host;
+    this.servers = servers;
+  }
+
+  @Override
+  public void send(String address, String method, String path, byte[] body, long timeoutMs, Consumer<Reply> done) {
+    String target = address.substring(0, address.indexOf(':'));
+    boolean[] over = {false};
+    Consumer<Reply> once =
+        reply -> {
+          if (!over[0] && loop.alive) {
+            over[0] = true;
+            done.accept(reply);
+          }
+        };
+    Server server = servers.get(target);
+    if (server == null || world.isDead(target)) {
+      loop.after(1, () -> once.accept(new Reply(Reply.NOT_SENT, new byte[0])));
+      return;
+    }
+    loop.after(timeoutMs, () -> once.accept(new Reply(Reply.UNKNOWN, new byte[0])));
+    world.carry(
+        host,
+        target,
+        () -> {
+          if (world.isDead(target) || servers.get(target) != server) {
+            return;
+          }
+          server.take(
+              host,
+              method,
+              path,
+              body == null ? new byte[0] : body,
+              response ->
+                  world.carry(
+                      target,
+                      host,
+                      () -> once.accept(new Reply(response.status(), Json.bytes(response.body())))));
+        });
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/SimPeers.java
@@ -0,0 +1,101 @@
+package org.sandford.scenario;
+
+import java.util.Map;
+import java.util.function.Supplier;
+import org.sandford.core.PeerTransport;
+
+/** Peer connections of one process. */
+final class SimPeers implements PeerTransport {
+  private final World world;
+  private final World.ProcessLoop loop;
+  private final String host;
+  private final Map<String, SimPeers> all;
+  private Supplier<Handler> listener;
+
+  SimPeers(World world, World.ProcessLoop loop, String host, Map<String, SimPeers> all) {
+    this.world = world;
+    this.loop = loop;
+    this.host = host;
+    this.all = all;
+    all.put(host, this);
+  }
+
+  @Override
+  public void listen(Supplier<Handler> handlers) {
+    listener = handlers;
+  }
+
+  @Override
+  public void dial(String address, Handler handler) {
+    String target = address.substring(0, address.indexOf(':'));
+    SimPeers peer = all.get(target);
+    if (peer == null || !peer.loop.alive || peer.listener == null || world.cutBetween(host, target) != null) {
+      loop.after(2, () -> handler.closed(null));
+      return;
+    }
+    End near = new End(this, target, handler);
+    End far = new End(peer, host, peer.listener.get());
+    near.other = far;
+    far.other = near;
+    world.carry(
+        host,
+        target,
+        () -> {
+          if (!peer.loop.alive) {
+            near.ended();
+            return;
+          }
+          far.handler.opened(far);
+          world.carry(target, host, () -> {
+            if (loop.alive && near.open) {
+              handler.opened(near);
+            }
+          });
+        });
+  }
+
+  /** One end of a connection. */
+  private static final class End implements Connection {
+    private final SimPeers owner;
+    private final String remote;
+    private final Handler handler;
+    private End other;
+    private boolean open = true;
+
+    End(SimPeers owner, String remote, Handler handler) {
+      this.owner = owner;
+      this.remote = remote;
+      this.handler = handler;
+    }
+
+    @Override
+    public void send(byte[] frame) {
+      owner.world.carry(
+          owner.host,
+          remote,
+          () -> {
+            if (!other.owner.loop.alive) {
+              ended();
+            } else if (other.open) {
+              other.handler.frame(other, frame);
+            }
+          });
+    }
+
+    @Override
+    public void close() {
+      if (open) {
+        open = false;
+        owner.loop.execute(() -> handler.closed(this));
+        owner.world.carry(owner.host, remote, other::ended);
+      }
+    }
+
+    private void ended() {
+      if (open && owner.loop.alive) {
+        open = false;
+        handler.closed(this);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/WorkerStandIn.java
@@ -0,0 +1,338 @@
+package org.sandford.scenario;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.core.Json;
+
+/** A worker by its published protocol: reports, commands, tokens, its lease and its tasks. */
+final class WorkerStandIn implements Server {
+  static final class Held {
+    final String piece;
+    final long attempt;
+    final Scenario.Submitted job;
+    String status = "pulling";
+    String cause;
+
+    Held(String piece, long attempt, Scenario.Submitted job) {
+      this.piece = piece;
+      this.attempt = attempt;
+      this.job = job;
+    }
+
+    boolean on() {
+      return status.equals("running") || status.equals("saving");
+    }
+
+    boolean ended() {
+      return status.equals("ended");
+    }
+  }
+
+  private final World world;
+  private final Scenario scenario;
+  final CloudStandIn.Rented machine;
+  final Map<String, Held> held = new LinkedHashMap<>();
+  private final List<Runnable> whileHanging = new ArrayList<>();
+  private long tenure = 1;
+  private long serial;
+  private long fence;
+  private long leaseFrom;
+  private int target;
+  private boolean inFlight;
+  private long reportRound;
+  private boolean gone;
+  private boolean hanging;
+  boolean faulty;
+  private Double noticeS;
+
+  WorkerStandIn(World world, Scenario scenario, CloudStandIn.Rented machine) {
+    this.world = world;
+    this.scenario = scenario;
+    this.machine = machine;
+    this.leaseFrom = world.now();
+    this.target = scenario.random(scenario.controllers);
+    world.after(1, () -> report());
+    watchLease();
+  }
+
+  void destroy() {
+    gone = true;
+    held.clear();
+    scenario.servers.remove(machine.name, this);
+  }
+
+  void die() {
+    gone = true;
+    held.clear();
+    world.setDead(machine.name, true);
+  }
+
+  void hang(boolean on) {
+    hanging = on;
+    if (!on) {
+      checkLease();
+      List<Runnable> late = new ArrayList<>(whileHanging);
+      whileHanging.clear();
+      late.forEach(Runnable::run);
+    }
+  }
+
+  void notice(double seconds) {
+    noticeS = seconds;
+    changed();
+    world.after((long) (seconds * 1000), () -> scenario.cloud.take(machine.name));
+  }
+
+  private void watchLease() {
+    if (!gone) {
+      if (!hanging) {
+        checkLease();
+      }
+      world.after(50, this::watchLease);
+    }
+  }
+
+  private void checkLease() {
+    if (world.now() - leaseFrom > scenario.leaseS * 1e9) {
+      held.clear();
+      tenure++;
+      leaseFrom = world.now();
+      changed();
+    }
+  }
+
+  // --- reports -------------------------------------------------------------------------------------------
+
+  private ObjectNode body() {
+    serial++;
+    ObjectNode body = Json.object();
+    body.put("host", machine.name).put("addr", machine.name + ":90").put("machine_kind", "m8");
+    body.put("site", machine.zone).put("reclaimable", machine.spot);
+    body.put("tenure", tenure).put("serial", serial).put("fence", fence);
+    if (noticeS != null) {
+      body.put("warning_s", noticeS);
+    }
+    ArrayNode pieces = body.putArray("pieces");
+    for (Held h : held.values()) {
+      ObjectNode piece = pieces.addObject().put("piece", h.piece).put("try", h.attempt).put("status", h.status);
+      if (h.ended()) {
+        piece.put("exit_cause", h.cause);
+      }
+    }
+    return body;
+  }
+
+  private void changed() {
+    long round = ++reportRound;
+    world.after(500, () -> {
+      if (round == reportRound) {
+        report();
+      }
+    });
+  }
+
+  private void report() {
+    if (gone) {
+      return;
+    }
+    if (hanging) {
+      world.after(200, this::report);
+      return;
+    }
+    if (inFlight) {
+      changed();
+      return;
+    }
+    long mine = ++reportRound;
+    inFlight = true;
+    long sentAt = world.now();
+    long sentTenure = tenure;
+    String to = "c" + target;
+    boolean[] over = {false};
+    ObjectNode body = body();
+    Consumer<Response> answered =
+        response -> {
+          if (over[0] || gone) {
+            return;
+          }
+          over[0] = true;
+          inFlight = false;
+          answered(response, sentAt, sentTenure);
+        };
+    world.after(4_000, () -> answered.accept(new Response(0, Json.object())));
+    Server server = scenario.servers.get(to);
+    if (server == null || world.isDead(to)) {
+      world.after(1, () -> answered.accept(new Response(0, Json.object())));
+    } else {
+      world.carry(machine.name, to, () -> {
+        if (scenario.servers.get(to) == server) {
+          server.take(machine.name, "POST", "/hello", Json.bytes(body), response ->
+              world.carry(to, machine.name, () -> {
+                if (hanging) {
+                  whileHanging.add(() -> answered.accept(response));
+                } else {
+                  answered.accept(response);
+                }
+              }));
+        }
+      });
+    }
+    long period = (long) (scenario.reportS * (750 + scenario.random(500)));
+    world.after(period, () -> {
+      if (mine == reportRound) {
+        report();
+      }
+    });
+  }
+
+  private void answered(Response response, long sentAt, long sentTenure) {
+    if (response.status() == 200) {
+      long token = response.body().path("fence").asLong(-1);
+      if (token < fence || sentTenure != tenure) {
+        return;
+      }
+      boolean raised = token > fence;
+      fence = token;
+      leaseFrom = Math.max(leaseFrom, sentAt);
+      execute(response.body().path("orders"));
+      if (raised) {
+        changed();
+      }
+      return;
+    }
+    String to = response.body().path("reports_to").asText("");
+    if (response.status() == 421 && scenario.servers.containsKey(to) && !to.equals("c" + target)) {
+      target = Integer.parseInt(to.substring(1));
+      world.after(100, this::report);
+    } else {
+      target = (target + 1) % scenario.controllers;
+      world.after(1_000, this::report);
+    }
+  }
+
+  // --- commands ---------------------------------------------------------------------------------------------
+
+  @Override
+  public void take(String from, String method, String path, byte[] bytes, Consumer<Response> respond) {
+    if (gone) {
+      return;
+    }
+    if (hanging) {
+      whileHanging.add(() -> take(from, method, path, bytes, respond));
+      return;
+    }
+    checkLease();
+    if (path.equals("/show")) {
+      respond.accept(new Response(200, body()));
+      return;
+    }
+    JsonNode body = Json.read(bytes);
+    if (body.path("fence").asLong(-1) < fence || body.path("tenure").asLong() != tenure) {
+      respond.accept(new Response(409, body()));
+      return;
+    }
+    boolean raised = body.path("fence").asLong() > fence;
+    fence = body.path("fence").asLong();
+    execute(body.path("orders"));
+    respond.accept(new Response(200, body()));
+    if (raised) {
+      changed();
+    }
+  }
+
+  private void execute(JsonNode orders) {
+    for (JsonNode order : orders) {
+      String piece = order.path("piece").asText();
+      long attempt = order.path("try").asLong();
+      String key = piece + "@" + attempt;
+      Held known = held.get(key);
+      switch (order.path("verb").asText()) {
+        case "start" -> {
+          if (known == null) {
+            start(piece, attempt, key);
+          }
+        }
+        case "stop" -> {
+          if (known != null && !known.ended()) {
+            end(known, "stopped");
+          }
+        }
+        case "clear" -> {
+          if (known != null && known.ended()) {
+            held.remove(key);
+            changed();
+          }
+        }
+        default -> world.broke("protocol", "an unknown order " + order);
+      }
+    }
+  }
+
+  private void start(String piece, long attempt, String key) {
+    Scenario.Submitted job = scenario.submitted.get(piece.substring(0, piece.indexOf('/')));
+    Held h = new Held(piece, attempt, job);
+    held.put(key, h);
+    changed();
+    if (job == null) {
+      end(h, "unknown");
+      return;
+    }
+    if (held.values().stream().anyMatch(o -> o != h && o.piece.equals(piece) && !o.ended())) {
+      end(h, "in_use");
+      return;
+    }
+    double used = held.values().stream().filter(o -> !o.ended()).mapToDouble(o -> o.job.cpus).sum();
+    if (used > 8 + 1e-9) {
+      end(h, "full");
+      return;
+    }
+    world.after(200, () -> run(h, key));
+  }
+
+  private boolean has(Held h, String key) {
+    return !gone && held.get(key) == h;
+  }
+
+  private void run(Held h, String key) {
+    if (!has(h, key) || !h.status.equals("pulling")) {
+      return;
+    }
+    if (hanging) {
+      whileHanging.add(() -> run(h, key));
+      return;
+    }
+    if (faulty || h.job.fails) {
+      end(h, "error");
+      return;
+    }
+    scenario.rules.starts(this, h);
+    h.status = "running";
+    changed();
+    if (!h.job.standing) {
+      world.after((long) (h.job.runS * 1000), () -> finish(h, key));
+    }
+  }
+
+  private void finish(Held h, String key) {
+    if (has(h, key) && h.status.equals("running")) {
+      if (hanging) {
+        whileHanging.add(() -> finish(h, key));
+      } else {
+        h.job.finished.add(h.piece);
+        end(h, "done");
+      }
+    }
+  }
+
+  private void end(Held h, String cause) {
+    h.status = "ended";
+    h.cause = cause;
+    changed();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/World.java
@@ -0,0 +1,184 @@
+package org.sandford.scenario;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.sandford.core.Loop;
+
+/** Simulated time and network: one queue of events, run in order, the same on every run. */
+final class World {
+  private record Event(long at, long order, Runnable what) implements Comparable<Event> {
+    @Override
+    public int compareTo(Event other) {
+      int byTime = Long.compare(at, other.at);
+      return byTime != 0 ? byTime : Long.compare(order, other.order);
+    }
+  }
+
+  /** A cut holds messages back and delivers them when it heals, or loses them. */
+  enum Cut {
+    HOLD,
+    LOSE
+  }
+
+  static final long MS = 1_000_000L;
+
+  final Random random;
+  final List<String> broken = new ArrayList<>();
+  private final PriorityQueue<Event> queue = new PriorityQueue<>();
+  private final Map<String, Cut> cuts = new LinkedHashMap<>();
+  private final Map<String, ArrayDeque<Runnable>> held = new LinkedHashMap<>();
+  private final Map<String, Long> lastArrival = new HashMap<>();
+  private final Set<String> dead = new HashSet<>();
+  private long now = 1_000 * MS;
+  private long order;
+
+  World(long seed) {
+    random = new Random(seed);
+  }
+
+  long now() {
+    return now;
+  }
+
+  double seconds() {
+    return (now - 1_000 * MS) / 1e9;
+  }
+
+  void at(long when, Runnable what) {
+    queue.add(new Event(Math.max(when, now), order++, what));
+  }
+
+  void after(long millis, Runnable what) {
+    at(now + millis * MS, what);
+  }
+
+  void runUntil(double seconds) {
+    long end = 1_000 * MS + (long) (seconds * 1e9);
+    while (!queue.isEmpty() && queue.peek().at <= end) {
+      Event event = queue.poll();
+      now = event.at;
+      event.what.run();
+    }
+    now = Math.max(now, end);
+  }
+
+  void broke(String rule, String what) {
+    broken.add(String.format("%.3f s %s: %s", seconds(), rule, what));
+  }
+
+  // --- the network -------------------------------------------------------------------------------------
+
+  private static String pair(String from, String to) {
+    return from + ">" + to;
+  }
+
+  void cut(String a, String b, Cut how) {
+    cuts.put(pair(a, b), how);
+    cuts.put(pair(b, a), how);
+  }
+
+  void heal(String a, String b) {
+    for (String pair : new String[] {pair(a, b), pair(b, a)}) {
+      cuts.remove(pair);
+      for (Iterator<Map.Entry<String, ArrayDeque<Runnable>>> it = held.entrySet().iterator(); it.hasNext(); ) {
+        Map.Entry<String, ArrayDeque<Runnable>> e = it.next();
+        String[] ends = e.getKey().split(">");
+        if (cutBetween(ends[0], ends[1]) == null) {
+          e.getValue().forEach(message -> after(1, message));
+          it.remove();
+        }
+      }
+    }
+  }
+
+  /** The cut between two hosts, or null; {@code *} stands for every host. */
+  Cut cutBetween(String from, String to) {
+    for (String pair : new String[] {pair(from, to), pair(from, "*"), pair("*", to)}) {
+      if (cuts.containsKey(pair)) {
+        return cuts.get(pair);
+      }
+    }
+    return null;
+  }
+
+  void setDead(String host, boolean is) {
+    if (is) {
+      dead.add(host);
+    } else {
+      dead.remove(host);
+    }
+  }
+
+  boolean isDead(String host) {
+    return dead.contains(host);
+  }
+
+  /** Carries a message; messages between the same two hosts stay in order. */
+  void carry(String from, String to, Runnable arrive) {
+    Cut cut = cutBetween(from, to);
+    if (cut == Cut.LOSE) {
+      return;
+    }
+    if (cut == Cut.HOLD) {
+      held.computeIfAbsent(pair(from, to), p -> new ArrayDeque<>()).addLast(arrive);
+      return;
+    }
+    long arrival = now + MS / 2 + random.nextInt((int) MS);
+    arrival = Math.max(arrival, lastArrival.getOrDefault(pair(from, to), 0L));
+    lastArrival.put(pair(from, to), arrival);
+    at(arrival, arrive);
+  }
+
+  /** The loop of one life of one process; what it queued dies with it. */
+  final class ProcessLoop implements Loop {
+    private final double drift;
+    boolean alive = true;
+
+    ProcessLoop(double drift) {
+      this.drift = drift;
+    }
+
+    @Override
+    public long nanos() {
+      return (long) (now * (1 + drift));
+    }
+
+    @Override
+    public long wallMillis() {
+      return 1_700_000_000_000L + now / MS;
+    }
+
+    @Override
+    public Timer after(long millis, Runnable what) {
+      boolean[] off = {false};
+      World.this.after(
+          millis,
+          () -> {
+            if (alive && !off[0]) {
+              what.run();
+            }
+          });
+      return () -> off[0] = true;
+    }
+
+    @Override
+    public void execute(Runnable what) {
+      World.this.at(
+          now,
+          () -> {
+            if (alive) {
+              what.run();
+            }
+          });
+    }
+  }
+}
