--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -44,9 +44,24 @@
   /** Milliseconds a leader that is alone waits for others before it takes over everything. */
   public static final int LEADER_ALONE_MS = 500;
 
-  /** Machines the leader moves between shares in one go: each move costs the machine a new token. */
+  /** Machines the leader moves between shares in one go at the least: each move costs a new token. */
   public static final int MACHINES_MOVED_AT_ONCE = 3;
 
+  /** Share of a surplus that is moved in one go: a large fleet is level after as many moves as a small one. */
+  public static final double SURPLUS_MOVED_AT_ONCE = 0.34;
+
+  /** Milliseconds between two ordinary writes of the map at the least: what arrives within goes together. */
+  public static final int MAP_PAUSE_MS = 250;
+
+  /** Share of the store's changes that ordinary writes of the map may use; records need the rest. */
+  public static final double MAP_RATE_SHARE = 0.25;
+
+  /** Bytes of one machine in its part of the map: name, generation, address and two places in tables. */
+  public static final int MAP_ENTRY_BYTES = 56;
+
+  /** Share of the store's value limit up to which a part of the map is filled; tables take the rest. */
+  public static final double MAP_PART_FILL = 0.8;
+
   /** Milliseconds between two moves: the shares' owners report their room in between. */
   public static final int MOVE_PAUSE_MS = 4_000;
 
@@ -61,6 +76,12 @@
   /** Milliseconds before a request that the store refused (429, 503) is sent again. */
   public static final int STATE_RETRY_MS = 200;
 
+  /** Times a request is sent at the most that the store refuses for its rate: it was not carried out. */
+  public static final int STATE_BUSY_TRIES = 5;
+
+  /** Share of a second's changes that must be left over before writes go that can wait. */
+  public static final double STATE_SPARE_SHARE = 0.5;
+
   /** Bytes of a transaction's body that are used of the protocol's 64 KiB; the rest is for its frame. */
   public static final int TXN_BYTES = 56 * 1024;
 
@@ -116,8 +137,11 @@
   /** Entries of the cache that tells which team a job belongs to. */
   public static final int TEAMS_CACHED = 20_000;
 
-  /** Sockets kept back from users for workers, peers, the store and the cloud. */
-  public static final int SOCKETS_RESERVED = 160;
+  /** Share of the sockets for commands to workers: those of a share fit, and a takeover goes in turns. */
+  public static final double SOCKETS_TO_WORKERS = 0.25;
+
+  /** Sockets kept back for peers, the store, the cloud and what is just being closed. */
+  public static final int SOCKETS_RESERVED = 48;
 
   /** Sockets when the facts name no limit. */
   public static final int DEFAULT_SOCKETS = 1_024;
@@ -159,9 +183,24 @@
 
   // --- jobs ------------------------------------------------------------------------------------------------
 
+  /**
+   * Milliseconds after which finished tasks are stored: most jobs are done by then, and their end says
+   * it all. A task whose end is not stored is asked for again, and its worker's result is kept.
+   */
+  public static final int PROGRESS_MS = 8_000;
+
   /** Milliseconds between two planning rounds at the least: what arrives within is planned together. */
   public static final int PLAN_MS = 10;
 
+  /** Share of the time that planning rounds may take; reports and users need the rest of the processor. */
+  public static final double PLAN_TIME_SHARE = 0.1;
+
+  /** Milliseconds between two looks through the fleet for tasks that may be stopped. */
+  public static final int PREEMPT_LOOK_MS = 250;
+
+  /** Jobs that may look for others to stop in one planning round: each look goes through the fleet. */
+  public static final int PREEMPT_SEARCHES = 4;
+
   /** Milliseconds between planning rounds when nothing happens. */
   public static final int PLAN_IDLE_MS = 500;
 
@@ -262,9 +301,12 @@
   /** Milliseconds a machine may take to become empty before it is kept after all. */
   public static final int VACATE_MS = 60_000;
 
-  /** Machines being emptied at once: the others must hold what moves. */
+  /** Machines being emptied at once, at the least: the others must hold what moves. */
   public static final int VACATED_AT_ONCE = 2;
 
+  /** Share of a large fleet that is emptied at once. */
+  public static final double VACATED_SHARE = 0.04;
+
   /** Share of its processors in use below which emptying a machine may pay. */
   public static final double VACATE_BELOW = 0.5;
 
@@ -275,7 +317,7 @@
   public static final double REMOVED_REMEMBERED_S = 120.0;
 
   /** Machines rented at the most when the operators set nothing. */
-  public static final int DEFAULT_MAX_MACHINES = 120;
+  public static final int DEFAULT_MAX_MACHINES = 5_000;
 
   /** Faulty or lost machines given back at once: a bad job must not empty the fleet. */
   public static final int FAULTY_RETURNED_AT_ONCE = 2;
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -26,7 +26,6 @@
 import org.sandford.peer.wire.TaskView;
 import org.sandford.peer.wire.Vacate;
 import org.sandford.placement.Need;
-import org.sandford.placement.Planner;
 import org.sandford.placement.Room;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.MachineOwner;
@@ -306,6 +305,7 @@
     double free = 0;
     Map<String, Integer> ordinaryInZone = new HashMap<>();
     List<Roster.Seen> idle = new ArrayList<>();
+    idleSince.keySet().removeIf(name -> roster.get(name) == null);
     for (Roster.Seen seen : roster.all()) {
       MachineView view = seen.view();
       Flavor flavor = flavors.get(view.kind);
@@ -352,7 +352,6 @@
 
   /** Views are only told when they change, so the time since is counted here. */
   private double idleFor(MachineView view, long now) {
-    idleSince.keySet().removeIf(name -> roster.get(name) == null);
     boolean empty = view.tasks.stream().allMatch(t -> t.state == TaskState.EXITED);
     if (!empty) {
       idleSince.remove(view.machine);
@@ -405,7 +404,8 @@
       }
     }
     keptAt.keySet().removeIf(name -> roster.get(name) == null);
-    if (vacating >= Constants.VACATED_AT_ONCE || !demandNow(now).isEmpty() || !hires.isEmpty()) {
+    int atOnce = Math.max(Constants.VACATED_AT_ONCE, (int) (rooms.size() * Constants.VACATED_SHARE));
+    if (vacating >= atOnce || !demandNow(now).isEmpty() || !hires.isEmpty()) {
       return;
     }
     candidates.sort(
@@ -536,32 +536,28 @@
 
   private void rent(long now) {
     List<Room> rooms = supply();
+    // Rooms that are in use already are filled first, so that empty machines stay free to go back.
+    rooms.sort(Comparator.comparingDouble((Room room) -> room.freeCpus / room.cpus));
+    Map<String, Double> crowd = new HashMap<>();
+    rooms.forEach(room -> crowd.merge(room.zone, room.cpus, Double::sum));
     Map<Pool, Integer> wanted = new LinkedHashMap<>();
-    Planner planner = new Planner();
     wantedRooms.clear();
     int machines = share.machines().of().size() + hires.values().stream().mapToInt(h -> h.number).sum();
     int most = settings.operators().maxMachines() - machines;
     for (DemandClass d : demandNow(now)) {
       Need need = need(d);
-      Planner.Plan plan = planner.place(need, d.tasks, rooms, false);
-      int left = d.tasks - (plan == null ? 0 : plan.tasks());
-      if (plan != null) {
-        plan.slots().forEach(slot -> wantedRooms.add(slot.room().machine));
-      }
+      int left = d.tasks - fill(need, d.tasks, rooms);
       while (left > 0 && most > 0) {
-        Pool pool = cheapest(need, left, rooms, wanted, now);
+        Pool pool = cheapest(need, left, crowd, now);
         if (pool == null) {
           break;
         }
-        Room fresh = room("new/" + most, pool.kind, pool.zone, pool.spot);
-        wanted.merge(pool, 1, Integer::sum);
-        most--;
-        rooms.add(fresh);
-        Planner.Plan more = planner.place(need, left, List.of(fresh), false);
-        if (more == null) {
+        Room fresh = want(pool, most--, wanted, crowd, rooms);
+        int more = fill(need, left, List.of(fresh));
+        if (more == 0) {
           break;
         }
-        left -= more.tasks();
+        left -= more;
       }
     }
     double total = 0;
@@ -570,12 +566,15 @@
       total += room.cpus;
       free += room.spot ? 0 : Math.max(0, room.freeCpus);
     }
-    if (free < Constants.HEADROOM_SHARE * total && most > 0 && wanted.isEmpty()) {
+    if (wanted.isEmpty()) {
       // Ordinary machines, since the work that may wait least runs on no others.
       Need any = new Need(1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
-      Pool pool = cheapest(any, 4, rooms, wanted, now);
-      if (pool != null) {
-        wanted.merge(pool, 1, Integer::sum);
+      while (free < Constants.HEADROOM_SHARE * total && most > 0) {
+        Pool pool = cheapest(any, 4, crowd, now);
+        if (pool == null) {
+          break;
+        }
+        free += want(pool, most--, wanted, crowd, rooms).cpus;
       }
     }
     if (!wanted.isEmpty() && keepVacating()) {
@@ -584,7 +583,52 @@
     wanted.forEach((pool, number) -> hire(pool, Math.min(number, Constants.HIRE_MOST), now));
   }
 
-  private Pool cheapest(Need need, int left, List<Room> rooms, Map<Pool, Integer> wanted, long now) {
+  /** Counts one more machine of the pool among those to be rented, and among the rooms. */
+  private Room want(Pool pool, int number, Map<Pool, Integer> wanted, Map<String, Double> crowd, List<Room> rooms) {
+    Room fresh = room("new/" + number, pool.kind, pool.zone, pool.spot);
+    wanted.merge(pool, 1, Integer::sum);
+    crowd.merge(pool.zone, fresh.cpus, Double::sum);
+    rooms.add(fresh);
+    return fresh;
+  }
+
+  /**
+   * Fills the rooms with up to {@code count} tasks and returns how many found one. It only tells what
+   * has to be rented, so it does without the score: a look at each room for a whole class.
+   */
+  private int fill(Need need, int count, List<Room> rooms) {
+    String zone = need.zone();
+    if (need.together() && zone.isEmpty()) {
+      Map<String, Integer> fits = new TreeMap<>();
+      for (Room room : rooms) {
+        if (need.allows(room)) {
+          fits.merge(room.zone, Math.min(count, need.fitting(room)), Integer::sum);
+        }
+      }
+      zone = fits.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse("");
+    }
+    Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
+    int left = count;
+    for (Room room : rooms) {
+      if (left == 0) {
+        break;
+      }
+      if (!need.allows(room) || !(zone.isEmpty() || zone.equals(room.zone))) {
+        continue;
+      }
+      int most = Math.min(left, need.scatterLimit() - zones.getOrDefault(room.zone, 0));
+      int tasks = Math.min(most, need.fitting(room));
+      if (tasks > 0) {
+        room.take(tasks * need.cpus(), tasks * need.gpus(), tasks * need.ram());
+        zones.merge(room.zone, tasks, Integer::sum);
+        wantedRooms.add(room.machine);
+        left -= tasks;
+      }
+    }
+    return count - left;
+  }
+
+  private Pool cheapest(Need need, int left, Map<String, Double> crowd, long now) {
     Pool best = null;
     double bestPrice = 0;
     double bestCrowd = 0;
@@ -601,15 +645,15 @@
             continue;
           }
           double price = price(flavor, spot) / fits;
-          double crowd = rooms.stream().filter(r -> r.zone.equals(zone)).mapToDouble(r -> r.cpus).sum();
+          double crowded = crowd.getOrDefault(zone, 0.0);
           boolean better =
               best == null
                   || price < bestPrice - Constants.EPSILON
-                  || (price < bestPrice + Constants.EPSILON && crowd < bestCrowd);
+                  || (price < bestPrice + Constants.EPSILON && crowded < bestCrowd);
           if (better) {
             best = pool;
             bestPrice = price;
-            bestCrowd = crowd;
+            bestCrowd = crowded;
           }
         }
       }
@@ -618,11 +662,6 @@
   }
 
   private void hire(Pool pool, int number, long now) {
-    if (!share.mapHasRoomFor(number)) {
-      log.error("the assignment map has no room for more machines");
-      troubleUntil = now + Constants.POOL_PAUSE_MS;
-      return;
-    }
     Hire hire = new Hire(share.newHireName(), pool, number, now);
     hires.put(hire.name, hire);
     log.info("renting {} {} {} in zone {}", number, pool.spot ? "spot" : "ordinary", pool.kind, pool.zone);
--- a/src/main/java/org/sandford/cli/Daemon.java
+++ b/src/main/java/org/sandford/cli/Daemon.java
@@ -1,5 +1,6 @@
 package org.sandford.cli;
 
+import java.util.Set;
 import org.sandford.Constants;
 import org.sandford.core.Controller;
 import org.sandford.net.NettyHttpClient;
@@ -19,8 +20,13 @@
     NettyLoop loop = new NettyLoop();
     NettyPeers peers =
         new NettyPeers(loop, settings.peerListen().host(), settings.peerListen().port());
-    Controller controller = new Controller(loop, settings, new NettyHttpClient(loop), peers);
-    int most = Math.max(16, settings.facts().sockets() - Constants.SOCKETS_RESERVED);
+    int sockets = settings.facts().sockets();
+    int toWorkers = (int) (sockets * Constants.SOCKETS_TO_WORKERS);
+    NettyHttpClient http =
+        new NettyHttpClient(
+            loop, Set.of(settings.state().toString(), settings.cloud().toString()), toWorkers);
+    Controller controller = new Controller(loop, settings, http, peers);
+    int most = Math.max(16, sockets - toWorkers - Constants.SOCKETS_RESERVED);
     NettyHttpServer server = new NettyHttpServer(loop, most, controller.api()::take);
     try {
       server.listen(settings.listen().host(), settings.listen().port());
--- a/src/main/java/org/sandford/cli/Rehearsal.java
+++ b/src/main/java/org/sandford/cli/Rehearsal.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.sandford.core.Answer;
@@ -96,7 +97,7 @@
   private static void rehearse(Settings settings) throws InterruptedException {
     NettyLoop loop = new NettyLoop();
     NettyPeers peers = new NettyPeers(loop, settings.peerListen().host(), settings.peerListen().port());
-    NettyHttpClient http = new NettyHttpClient(loop);
+    NettyHttpClient http = new NettyHttpClient(loop, Set.of(), 100);
     Controller controller = new Controller(loop, settings, http, peers);
     NettyHttpServer server =
         new NettyHttpServer(
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -20,6 +20,7 @@
 import org.sandford.peer.wire.ClearTask;
 import org.sandford.peer.wire.Demand;
 import org.sandford.peer.wire.MachineSeen;
+import org.sandford.peer.wire.MapKnown;
 import org.sandford.peer.wire.MapShown;
 import org.sandford.peer.wire.Preempt;
 import org.sandford.peer.wire.Release;
@@ -53,8 +54,7 @@
   private final Finals finals = new Finals();
   private final Capacity capacity;
   private final Api api;
-  private long shownTeams;
-  private long shownMachines;
+  private MapKnown mapKnown = new MapKnown(0L, 0L);
 
   public Controller(Loop loop, Settings settings, HttpCalls http, PeerTransport peers) {
     this.loop = loop;
@@ -98,6 +98,8 @@
   }
 
   private void beat() {
+    mapKnown = share.known();
+    links.askOthers(mapKnown);
     links.askOthers(new Demand(new ArrayList<>(jobs.demand())));
     links.publish(PeerLinks.beat(share.holdValid()));
     share.teamsToSpread()
@@ -123,14 +125,6 @@
     roster.mapChanged();
     fleet.mapChanged();
     jobs.mapChanged();
-    boolean newer =
-        share.teams().revision() > shownTeams || share.machines().revision() > shownMachines;
-    if (newer) {
-      shownTeams = share.teams().revision();
-      shownMachines = share.machines().revision();
-      // Shown to all: one that was cut off from the store must learn that it was replaced.
-      links.askOthers(share.show());
-    }
   }
 
   @Override
@@ -154,7 +148,7 @@
 
   @Override
   public Iterable<Object> greeting() {
-    return List.of(share.show(), fleet.allViews());
+    return List.of(fleet.allViews());
   }
 
   @Override
@@ -186,8 +180,12 @@
         share.addMachine(
             new Share.NewMachine(seen.machine, seen.addr, seen.kind, seen.zone, seen.spot));
       }
-    } else if (message instanceof MapShown map) {
-      share.shown(map);
+    } else if (message instanceof MapKnown known) {
+      // One that was cut off from the store must learn that it was replaced.
+      MapShown lacking = share.lacking(known);
+      if (lacking != null) {
+        answer.accept(lacking);
+      }
     } else {
       log.info("{} sent {}, which nobody takes", from, message.getClass().getSimpleName());
     }
@@ -216,7 +214,7 @@
   @Override
   public void linkUp(String peer) {
     jobs.linkUp(peer);
-    links.ask(peer, share.show());
+    links.ask(peer, mapKnown);
   }
 
   @Override
--- a/src/main/java/org/sandford/core/TokenBucket.java
+++ b/src/main/java/org/sandford/core/TokenBucket.java
@@ -10,20 +10,25 @@
   public TokenBucket(Loop loop, double perSecond) {
     this.loop = loop;
     this.perSecond = perSecond;
-    this.tokens = Math.max(1, perSecond);
+    this.tokens = most();
     this.filledAt = loop.nanos();
   }
 
   private void fill() {
     long now = loop.nanos();
-    tokens = Math.min(Math.max(1, perSecond), tokens + perSecond * (now - filledAt) / 1e9);
+    tokens = Math.min(most(), tokens + perSecond * (now - filledAt) / 1e9);
     filledAt = now;
   }
 
+  /** The most that may go at once. */
+  public double most() {
+    return Math.max(1, perSecond);
+  }
+
   /** Whether {@code count} may go now. More than a burst holds may go once the bucket is full. */
   public boolean allows(double count) {
     fill();
-    return tokens >= Math.min(count, Math.max(1, perSecond));
+    return tokens >= Math.min(count, most());
   }
 
   /** Takes them; the bucket may go below nothing, which delays what follows. */
@@ -35,7 +40,7 @@
   /** Milliseconds until {@code count} may go. */
   public long waitMillis(double count) {
     fill();
-    double missing = Math.min(count, Math.max(1, perSecond)) - tokens;
+    double missing = Math.min(count, most()) - tokens;
     return missing <= 0 ? 0 : (long) Math.ceil(missing * 1000 / perSecond);
   }
 }
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -13,6 +13,7 @@
 import org.sandford.core.Answer;
 import org.sandford.core.Json;
 import org.sandford.placement.Need;
+import org.sandford.state.RecordWriter;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -44,13 +45,12 @@
     PLACED,
     RUNNING,
     /** It was told to stop. */
-    STOPPING,
-    /** It is done, which is not stored yet. */
-    FINISHED
+    STOPPING
   }
 
   /** One attempt of a task on its machine. */
   static final class Placed {
+    final Job job;
     final int task;
     final long attempt;
     final String machine;
@@ -62,7 +62,10 @@
     private TaskPhase phase;
     long runningSince;
 
-    Placed(int task, long attempt, String machine, long machineGeneration, String owner, int linkRound, String zone, TaskPhase phase, long since) {
+    Placed(
+        Job job, int task, long attempt, String machine, long machineGeneration, String owner, int linkRound,
+        String zone, TaskPhase phase, long since) {
+      this.job = job;
       this.task = task;
       this.attempt = attempt;
       this.machine = machine;
@@ -78,15 +81,23 @@
       return phase;
     }
 
-    /** The one place where a task's phase changes; what is finished stays so. */
+    private int runs() {
+      return phase == TaskPhase.RUNNING ? 1 : 0;
+    }
+
+    /** The one place where a task's phase changes; what was told to stop stays so. */
     void becomes(TaskPhase next, long now) {
-      if (phase == TaskPhase.FINISHED || (phase == TaskPhase.STOPPING && next != TaskPhase.FINISHED)) {
+      if (phase == TaskPhase.STOPPING) {
         return;
       }
       if (next == TaskPhase.RUNNING && phase != TaskPhase.RUNNING) {
         runningSince = now;
       }
+      int before = runs();
       phase = next;
+      if (job.placed.get(task) == this) {
+        job.running += runs() - before;
+      }
     }
   }
 
@@ -94,12 +105,16 @@
   record Clear(int task, long attempt, String machine) {}
 
   final JobSpec spec;
+  final LikeTasks like;
   final long acceptedAt;
   /** It was loaded from the store: an earlier owner may have started its tasks. */
   final boolean inherited;
   private Phase phase;
   long revision;
   boolean dirty;
+  boolean progressDue;
+  /** The write of finished tasks that is under way or waits its turn. */
+  RecordWriter.Write progress;
   boolean writing;
   boolean started;
   boolean ranOnce;
@@ -107,20 +122,23 @@
   final RangeSet<Integer> waiting = TaskRanges.empty();
   int doneCount;
   int waitingCount;
-  final Map<Integer, Placed> placed = new TreeMap<>();
+  /** Attempts that hold, or may hold, room on a machine. */
+  private final Map<Integer, Placed> placed = new TreeMap<>();
+  private int running;
   final List<Clear> clears = new ArrayList<>();
   final List<Consumer<Answer>> submitters = new ArrayList<>();
   final List<Consumer<Answer>> aborters = new ArrayList<>();
   final Set<String> avoid = new HashSet<>();
   int failuresInRow;
   String lastFailure = "";
-  private String waitReason = "";
+  private WaitReason waitReason = WaitReason.NONE;
   long notBefore;
   long preemptAgainAt;
   long waitingSince;
 
   Job(JobSpec spec, long acceptedAt, boolean inherited, Phase phase, long now) {
     this.spec = spec;
+    this.like = LikeTasks.of(spec);
     this.acceptedAt = acceptedAt;
     this.inherited = inherited;
     this.phase = phase;
@@ -142,11 +160,11 @@
   }
 
   /** Notes why its tasks wait, for its user and for the log. */
-  void waitsBecause(String reason) {
+  void waitsBecause(WaitReason reason) {
     if (!reason.equals(waitReason)) {
       waitReason = reason;
-      if (!reason.isEmpty()) {
-        log.debug("{} waits: {}", spec.id(), reason);
+      if (reason != WaitReason.NONE && log.isDebugEnabled()) {
+        log.debug("{} waits: {}", spec.id(), reason.text());
       }
     }
   }
@@ -170,20 +188,33 @@
     return done.contains(task);
   }
 
+  Placed at(int task) {
+    return placed.get(task);
+  }
+
+  /** A copy, since most that is done with them changes them. */
+  List<Placed> placed() {
+    return new ArrayList<>(placed.values());
+  }
+
   void place(Placed at) {
     placed.put(at.task, at);
+    running += at.runs();
     if (waiting.contains(at.task)) {
       waiting.remove(TaskRanges.one(at.task));
       waitingCount--;
     }
   }
 
-  /** The attempt is surely over and did not finish: the task waits again. */
+  /** The attempt holds no room any more; unless the task is done, it waits again. */
   void unplace(Placed at, long now) {
-    if (placed.remove(at.task, at) && !isDone(at.task)) {
-      waiting.add(TaskRanges.one(at.task));
-      waitingCount++;
-      waitingSince = now;
+    if (placed.remove(at.task, at)) {
+      running -= at.runs();
+      if (!isDone(at.task)) {
+        waiting.add(TaskRanges.one(at.task));
+        waitingCount++;
+        waitingSince = now;
+      }
     }
   }
 
@@ -201,23 +232,11 @@
 
   /** Tasks that hold, or may hold, room on a machine. */
   int holding() {
-    int n = 0;
-    for (Placed p : placed.values()) {
-      if (p.phase != TaskPhase.FINISHED) {
-        n++;
-      }
-    }
-    return n;
+    return placed.size();
   }
 
   int running() {
-    int n = 0;
-    for (Placed p : placed.values()) {
-      if (p.phase == TaskPhase.RUNNING) {
-        n++;
-      }
-    }
-    return n;
+    return running;
   }
 
   Need need() {
@@ -229,7 +248,7 @@
     Map<String, Integer> zones = new HashMap<>();
     Set<String> machines = new HashSet<>();
     for (Placed p : placed.values()) {
-      if (p.phase != TaskPhase.FINISHED && p != left) {
+      if (p != left) {
         zones.merge(p.zone, 1, Integer::sum);
         machines.add(p.machine);
       }
@@ -277,8 +296,8 @@
             .put("status", state)
             .put("done", doneCount)
             .put("running", running());
-    if (!phase.over() && waitingCount > 0 && !waitReason.isEmpty()) {
-      node.put("reason", waitReason);
+    if (!phase.over() && waitingCount > 0 && waitReason != WaitReason.NONE) {
+      node.put("reason", waitReason.text());
     } else if (!phase.over() && !lastFailure.isEmpty()) {
       node.put("reason", lastFailure);
     }
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -69,15 +69,21 @@
   private final JobStore store;
   private final Finals finals;
   private final Lookup lookup;
-  private final Function<String, Flavor> flavors;
   private final Planner planner = new Planner();
   private final Map<String, Team> teams = new TreeMap<>();
   private final Map<String, Job> jobs = new HashMap<>();
+  private final RoomBook rooms;
   private final Map<String, Integer> linkRounds = new HashMap<>();
-  private final Map<String, Long> preempted = new HashMap<>();
+  private final Map<Attempt, Long> preempted = new HashMap<>();
+  /** How many tasks of a class found no place at the last try, which holds until room grows. */
+  private final Map<LikeTasks, Integer> hopeless = new HashMap<>();
+  private long hopelessSince = -1;
+  private long hopelessAt;
+  private long stopAgainAt;
   private boolean planning;
   private long moveAgainAt;
   private long plannedAt;
+  private long planPauseMs = Constants.PLAN_MS;
 
   public Jobs(
       Loop loop,
@@ -99,7 +105,7 @@
     this.store = store;
     this.finals = finals;
     this.lookup = lookup;
-    this.flavors = flavors;
+    this.rooms = new RoomBook(roster, share, links, settings.label(), flavors);
   }
 
   public void start() {
@@ -140,12 +146,13 @@
     }
     // A machine that left the map is gone, and all that was on it: its return was answered.
     for (Job job : jobs.values()) {
-      for (Placed p : new ArrayList<>(job.placed.values())) {
-        if (p.phase() != TaskPhase.FINISHED && !share.machines().of().containsKey(p.machine)) {
+      for (Placed p : job.placed()) {
+        if (!share.machines().of().containsKey(p.machine)) {
           lost(job, p, "its machine " + p.machine + " is gone");
         }
       }
     }
+    rooms.allChanged();
     checkReady();
     planSoon();
   }
@@ -171,6 +178,7 @@
     teams.remove(team.name);
     for (Job job : team.jobs.values()) {
       jobs.remove(job.spec.id());
+      job.placed().forEach(rooms::unplaced);
       Answer later = Answer.later(503, "the team's owner changes", Constants.RETRY_AUTHORITY_S);
       job.submitters.forEach(s -> s.accept(later));
       job.aborters.forEach(a -> a.accept(later));
@@ -272,11 +280,14 @@
   public void views(String from, Views views) {
     for (MachineView view : views.machines) {
       Roster.Seen seen = roster.get(view.machine);
+      rooms.changed(view.machine);
       if (seen != null && seen.view() == view) {
         takeView(from, view);
       }
     }
+    views.gone.forEach(rooms::changed);
     if (views.complete) {
+      rooms.allChanged();
       dropUnanswered(from, views);
     }
     checkReady();
@@ -288,14 +299,14 @@
   /** A new link ends the old one at the far end, so a start that was not taken by then never will be. */
   private void dropUnanswered(String from, Views views) {
     int round = linkRounds.getOrDefault(from, 0);
-    Set<String> told = new HashSet<>();
-    views.machines.forEach(m -> m.tasks.forEach(t -> told.add(attempt(t.job, t.task, t.attempt))));
+    Set<Attempt> told = new HashSet<>();
+    views.machines.forEach(m -> m.tasks.forEach(t -> told.add(Attempt.of(t))));
     for (Job job : jobs.values()) {
-      for (Placed p : new ArrayList<>(job.placed.values())) {
+      for (Placed p : job.placed()) {
         if (p.phase() == TaskPhase.REQUESTED
             && p.owner.equals(from)
             && p.linkRound < round
-            && !told.contains(attempt(job.spec.id(), p.task, p.attempt))) {
+            && !told.contains(Attempt.of(p))) {
           unplace(job, p);
         }
       }
@@ -304,7 +315,7 @@
 
   public void startAnswered(StartAnswer answer) {
     Job job = jobs.get(answer.job);
-    Placed p = job == null ? null : job.placed.get(answer.task);
+    Placed p = job == null ? null : job.at(answer.task);
     if (p == null || p.attempt != answer.attempt || p.phase() != TaskPhase.REQUESTED) {
       return;
     }
@@ -320,44 +331,39 @@
     }
   }
 
-  private static String attempt(String job, int task, long attempt) {
-    return job + "/" + task + "@" + attempt;
+  private void place(Job job, Placed p) {
+    job.place(p);
+    rooms.placed(p);
   }
 
   private void unplace(Job job, Placed p) {
     job.unplace(p, loop.nanos());
+    rooms.unplaced(p);
   }
 
   private void takeView(String from, MachineView view) {
     if (!view.settled) {
       return;
     }
-    Set<String> told = new HashSet<>();
+    Set<Attempt> told = new HashSet<>();
     for (TaskView task : view.tasks) {
-      told.add(attempt(task.job, task.task, task.attempt));
+      told.add(Attempt.of(task));
       Job job = jobs.get(task.job);
       if (job != null) {
         takeTask(from, view, job, task);
       }
     }
-    for (Job job : jobs.values()) {
-      if (job.placed.isEmpty()) {
+    for (Placed p : rooms.on(view.machine)) {
+      if (told.contains(Attempt.of(p))) {
         continue;
       }
-      for (Placed p : new ArrayList<>(job.placed.values())) {
-        if (!p.machine.equals(view.machine)
-            || p.phase() == TaskPhase.FINISHED
-            || told.contains(attempt(job.spec.id(), p.task, p.attempt))) {
-          continue;
-        }
-        // A request under way is answered by its own answer, unless a newer owner settled the machine.
-        boolean asked = p.phase() == TaskPhase.REQUESTED;
-        if (view.generation > p.machineGeneration || (!asked && view.generation == p.machineGeneration)) {
-          if (asked) {
-            unplace(job, p);
-          } else {
-            lost(job, p, "it is no longer on machine " + view.machine);
-          }
+      // A request under way is answered by its own answer, unless a newer owner settled the machine.
+      boolean asked = p.phase() == TaskPhase.REQUESTED;
+      if (view.generation > p.machineGeneration || (!asked && view.generation == p.machineGeneration)) {
+        if (asked) {
+          unplace(p.job, p);
+        } else {
+          lost(p.job, p, "it is no longer on machine " + view.machine);
         }
       }
     }
@@ -365,7 +371,7 @@
 
   private void takeTask(String from, MachineView view, Job job, TaskView task) {
     long now = loop.nanos();
-    Placed p = job.placed.get(task.task);
+    Placed p = job.at(task.task);
     boolean mine = p != null && p.attempt == task.attempt;
     if (task.state == TaskState.EXITED) {
       exited(job, mine ? p : null, view, task);
@@ -379,9 +385,9 @@
       // Found after a takeover.
       p =
           new Placed(
-              task.task, task.attempt, view.machine, view.generation, from,
+              job, task.task, task.attempt, view.machine, view.generation, from,
               linkRounds.getOrDefault(from, 0), view.zone, TaskPhase.PLACED, now);
-      job.place(p);
+      place(job, p);
       job.started = true;
     } else if (!mine) {
       log.error("{}/{} is on {} as attempt {} beside attempt {} on {}",
@@ -416,15 +422,14 @@
         job.finish(task.task);
         if (p == null) {
           // Another attempt may still stand elsewhere; it is stopped once found.
-          Placed other = job.placed.get(task.task);
+          Placed other = job.at(task.task);
           if (other != null) {
             stop(job, other, 0);
           }
         }
       }
       if (p != null) {
-        p.becomes(TaskPhase.FINISHED, loop.nanos());
-        job.placed.remove(p.task, p);
+        unplace(job, p);
       }
       Job.Clear clear = new Job.Clear(task.task, task.attempt, view.machine);
       if (!job.clears.contains(clear)) {
@@ -544,7 +549,7 @@
         new RecordWriter.Write(
             newJobConditions(id),
             List.of(Op.put(JobStore.OPEN + id, record)),
-            false,
+            RecordWriter.Kind.NEW,
             result -> storedNew(job, result)));
   }
 
@@ -585,6 +590,7 @@
 
   private void discard(Job job) {
     jobs.remove(job.spec.id(), job);
+    job.placed().forEach(rooms::unplaced);
     Team team = teams.get(job.spec.team());
     if (team != null) {
       team.jobs.remove(job.spec.id(), job);
@@ -666,7 +672,7 @@
         new RecordWriter.Write(
             absent(spec.id()),
             List.of(Op.put(JobStore.OPEN + spec.id(), record), Op.put(Share.addedKey(spec.id()), marker)),
-            false,
+            RecordWriter.Kind.NEW,
             result -> {
               if (result.outcome() == Outcome.DONE) {
                 log.info("{} is stored for the owner of team {}", spec.id(), spec.team());
@@ -717,7 +723,7 @@
 
   private void clearAdded(String id) {
     writer.write(
-        new RecordWriter.Write(Map.of(), List.of(Op.remove(Share.addedKey(id))), false, result -> {}));
+        new RecordWriter.Write(Map.of(), List.of(Op.remove(Share.addedKey(id))), RecordWriter.Kind.PROGRESS, result -> {}));
   }
 
   public static ObjectNode finalStatus(String id, String state) {
@@ -761,7 +767,7 @@
     job.aborters.add(answer);
     if (job.phase() == Job.Phase.OPEN && !job.allDone()) {
       job.becomes(Job.Phase.ABORTING);
-      for (Placed p : new ArrayList<>(job.placed.values())) {
+      for (Placed p : job.placed()) {
         stop(job, p, 0);
       }
     }
@@ -782,6 +788,12 @@
 
   /** Writes what the record lacks; one write per job at a time. */
   private void tend(Job job) {
+    boolean ending = job.phase() == Job.Phase.ABORTING || job.allDone();
+    if (ending && job.progress != null && writer.withdraw(job.progress)) {
+      // The job's end says it all, and must not wait behind what can.
+      job.progress = null;
+      job.writing = false;
+    }
     if (job.writing || job.phase().over() || job.phase() == Job.Phase.STORING || jobs.get(job.spec.id()) != job) {
       return;
     }
@@ -789,8 +801,17 @@
       writeFinal(job, "aborted");
     } else if (job.allDone()) {
       writeFinal(job, "done");
-    } else if (job.dirty) {
-      writeProgress(job);
+    } else if (job.dirty && !job.progressDue) {
+      job.progressDue = true;
+      loop.after(
+          Constants.PROGRESS_MS,
+          () -> {
+            job.progressDue = false;
+            boolean wanted = job.dirty && !job.writing && job.phase() == Job.Phase.OPEN && !job.allDone();
+            if (wanted && jobs.get(job.spec.id()) == job) {
+              writeProgress(job);
+            }
+          });
     }
   }
 
@@ -808,7 +829,7 @@
         new RecordWriter.Write(
             recordConditions(job),
             List.of(Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
-            true,
+            RecordWriter.Kind.END,
             result -> {
               job.writing = false;
               if (jobs.get(id) != job) {
@@ -827,13 +848,14 @@
     job.dirty = false;
     List<Job.Clear> clears = new ArrayList<>(job.clears);
     ObjectNode record = job.record(settings.facts().stateValueBytes());
-    writer.write(
+    job.progress =
         new RecordWriter.Write(
             recordConditions(job),
             List.of(Op.put(JobStore.OPEN + job.spec.id(), record)),
-            false,
+            RecordWriter.Kind.PROGRESS,
             result -> {
               job.writing = false;
+              job.progress = null;
               if (jobs.get(job.spec.id()) != job) {
                 return;
               }
@@ -851,7 +873,8 @@
                 job.dirty = true;
                 wroteBadly(job, result);
               }
-            }));
+            });
+    writer.write(job.progress);
   }
 
   private void clear(Job job, Job.Clear clear) {
@@ -911,11 +934,11 @@
     log.debug("{} is {}", job.spec.id(), state);
     finals.put(job.spec.id(), job.finalRecord(state));
     answerAborters(job, Answer.of(200, finalStatus(job.spec.id(), state)));
-    for (Placed p : new ArrayList<>(job.placed.values())) {
+    for (Placed p : job.placed()) {
       stop(job, p, 0);
     }
     job.clears.forEach(clear -> clear(job, clear));
-    if (state.equals("done") || job.placed.isEmpty()) {
+    if (state.equals("done") || job.holding() == 0) {
       discard(job);
     } else {
       leave(job);
@@ -925,7 +948,7 @@
 
   /** A cancelled job counts against its team until its tasks are gone, and is stopped till then. */
   private void leave(Job job) {
-    if (job.placed.isEmpty() || jobs.get(job.spec.id()) != job) {
+    if (job.holding() == 0 || jobs.get(job.spec.id()) != job) {
       discard(job);
       planSoon();
       return;
@@ -934,7 +957,7 @@
         Constants.PLAN_IDLE_MS,
         () -> {
           if (jobs.get(job.spec.id()) == job) {
-            new ArrayList<>(job.placed.values()).forEach(p -> stop(job, p, 0));
+            job.placed().forEach(p -> stop(job, p, 0));
             leave(job);
           }
         });
@@ -948,7 +971,7 @@
     }
     planning = true;
     long since = loop.millis() - plannedAt;
-    loop.after(Math.max(1, Constants.PLAN_MS - since), this::plan);
+    loop.after(Math.max(1, planPauseMs - since), this::plan);
   }
 
   private List<Job> queue() {
@@ -971,16 +994,9 @@
     return queue;
   }
 
-  /** Jobs that fail to find places as a class; the next of the class need not be tried in this round. */
-  private record LikeTasks(
-      double cpus, double gpus, double ram, Set<String> kinds, String zone, boolean reclaimable, boolean together, boolean scatter) {
-    static LikeTasks of(JobSpec s) {
-      return new LikeTasks(s.cpus(), s.gpus(), s.ram(), s.kinds(), s.zone(), s.reclaimable(), s.together(), s.scatter());
-    }
-  }
-
   private void plan() {
     planning = false;
+    long began = loop.nanos();
     plannedAt = loop.millis();
     if (!share.holdValid()) {
       return;
@@ -988,10 +1004,25 @@
     List<Job> queue = queue();
     if (queue.isEmpty()) {
       moveReplica();
-      return;
+    } else {
+      plan(queue);
+    }
+    // Under overload the rounds grow long: the rest of the time belongs to reports and users.
+    double spentMs = (loop.nanos() - began) / 1e6;
+    planPauseMs = Math.max(Constants.PLAN_MS, (long) (spentMs / Constants.PLAN_TIME_SHARE));
+  }
+
+  private void plan(List<Job> queue) {
+    List<Room> free = rooms.usable();
+    if (rooms.growth() != hopelessSince || plannedAt - hopelessAt > Constants.PLAN_IDLE_MS) {
+      hopelessSince = rooms.growth();
+      hopelessAt = plannedAt;
+      hopeless.clear();
+    }
+    Stoppable stoppable = null;
+    if (plannedAt >= stopAgainAt) {
+      stoppable = new Stoppable();
     }
-    List<Room> rooms = rooms();
-    Map<LikeTasks, Integer> hopeless = new HashMap<>();
     for (Job job : queue) {
       Team team = teams.get(job.spec.team());
       int allowed = team.allowed(job.spec.cpus(), job.spec.gpus());
@@ -1000,37 +1031,41 @@
       // limit is starved by the parts of larger ones, which take each place as it falls free.
       boolean whole = !job.started && count == job.waitingCount;
       if (count == 0) {
-        job.waitsBecause(
-            String.format(
-                "team %s has room for %d more tasks of %.1f CPUs within its limit of %.1f, and %d wait",
-                team.name, allowed, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
-        continue;
-      }
-      LikeTasks like = LikeTasks.of(job.spec);
-      int need = whole ? count : 1;
-      boolean plain = job.placed.isEmpty() && job.avoid.isEmpty();
-      if (plain && hopeless.getOrDefault(like, Integer.MAX_VALUE) <= need) {
-        job.waitsBecause(noRoom(need, job.spec));
+        job.waitsBecause(new WaitReason.TeamLimit(team.name, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
         continue;
       }
-      Planner.Plan plan = planner.place(job.need(), count, rooms, whole);
-      if (plan == null && !job.avoid.isEmpty()) {
-        // Better a machine on which it failed than none at all.
-        job.avoid.clear();
-        plan = planner.place(job.need(), count, rooms, whole);
-      }
+      Planner.Plan plan = find(job, count, whole, free);
       if (plan == null) {
-        if (plain) {
-          hopeless.merge(like, need, Math::min);
+        job.waitsBecause(new WaitReason.NoRoom(whole ? count : 1, job.spec.cpus(), job.spec.ram()));
+        if (stoppable != null) {
+          preempt(team, job, count, free, whole, stoppable);
         }
-        job.waitsBecause(noRoom(need, job.spec));
-        preempt(team, job, count, rooms, whole);
-        continue;
+      } else {
+        carryOut(team, job, plan);
       }
-      carryOut(team, job, plan);
     }
   }
 
+  /** A plan for the job's tasks, or null; jobs of a class that found no room are not tried again. */
+  private Planner.Plan find(Job job, int count, boolean whole, List<Room> free) {
+    int need = whole ? count : 1;
+    if (hopeless.getOrDefault(job.like, Integer.MAX_VALUE) <= need) {
+      return null;
+    }
+    Need wanted = job.need();
+    int bound = Planner.bound(wanted, need, free);
+    Planner.Plan plan = bound < need ? null : planner.place(wanted, count, free, whole);
+    if (plan == null && !job.avoid.isEmpty()) {
+      // Better a machine on which it failed than none at all.
+      job.avoid.clear();
+      return find(job, count, whole, free);
+    }
+    if (plan == null && job.holding() == 0) {
+      hopeless.merge(job.like, bound < need ? bound + 1 : need, Math::min);
+    }
+    return plan;
+  }
+
   /**
    * Moves one replica off a machine that is to be emptied, if a machine with its image has room for it.
    * One at a time: its job is short of it until it runs again.
@@ -1040,7 +1075,8 @@
     if (now < moveAgainAt) {
       return;
     }
-    List<Room> rooms = null;
+    moveAgainAt = now + Constants.PLAN_IDLE_MS;
+    List<Room> free = null;
     for (Roster.Seen seen : roster.all()) {
       MachineView view = seen.view();
       if (!view.vacating || view.state != MachineState.UP || !roster.current(seen)) {
@@ -1048,7 +1084,7 @@
       }
       for (TaskView t : view.tasks) {
         Job job = jobs.get(t.job);
-        Placed p = job == null ? null : job.placed.get(t.task);
+        Placed p = job == null ? null : job.at(t.task);
         boolean movable =
             p != null
                 && p.attempt == t.attempt
@@ -1059,9 +1095,9 @@
         if (!movable) {
           continue;
         }
-        rooms = rooms == null ? rooms() : rooms;
+        free = free == null ? rooms.usable() : free;
         String image = job.spec.image();
-        List<Room> warm = rooms.stream().filter(r -> r.images.contains(image)).toList();
+        List<Room> warm = free.stream().filter(r -> r.images.contains(image)).toList();
         if (planner.place(job.needWithout(p), 1, warm, true) != null) {
           log.info("{}/{} moves off machine {}", job.spec.id(), p.task, view.machine);
           moveAgainAt = now + Constants.MOVE_REPLICA_MS;
@@ -1073,26 +1109,27 @@
   }
 
   /** Makes room where the users allow it; what is freed shows in later views and is planned then. */
-  private void preempt(Team team, Job job, int count, List<Room> rooms, boolean whole) {
-    if (job.preemptAgainAt > loop.millis()) {
+  private void preempt(Team team, Job job, int count, List<Room> free, boolean whole, Stoppable stoppable) {
+    if (job.preemptAgainAt > loop.millis() || stoppable.searches >= Constants.PREEMPT_SEARCHES) {
       return;
     }
-    List<Preemption.Victim> victims = victims(team, job);
+    List<Preemption.Victim> victims = stoppable.victims(team, job);
     if (victims.isEmpty()) {
       return;
     }
-    List<Preemption.Eviction> evictions = Preemption.choose(job.need(), count, rooms, victims, whole);
+    stoppable.searches++;
+    job.preemptAgainAt = loop.millis() + Constants.PREEMPT_PAUSE_MS;
+    List<Preemption.Eviction> evictions = Preemption.choose(job.need(), count, free, victims, whole);
     if (evictions == null) {
       return;
     }
-    job.preemptAgainAt = loop.millis() + Constants.PREEMPT_PAUSE_MS;
     JobSpec s = job.spec;
     for (Preemption.Eviction eviction : evictions) {
       Room room = eviction.room();
       List<Victim> stop = new ArrayList<>();
       for (Preemption.Victim v : eviction.victims()) {
         stop.add(new Victim(v.job(), v.task(), v.attempt()));
-        preempted.put(attempt(v.job(), v.task(), v.attempt()), loop.millis());
+        preempted.put(new Attempt(v.job(), v.task(), v.attempt()), loop.millis());
       }
       int n = eviction.tasks();
       room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
@@ -1105,48 +1142,58 @@
   }
 
   /**
-   * Tasks that may be stopped for this job: those of lower rank, and, where the job lies within its
-   * team's guarantee, what other teams run beyond theirs. Services are left alone in the second case.
+   * What may be stopped for a job: tasks of lower rank, and, where the job lies within its team's
+   * guarantee, what other teams run beyond theirs. Services are left alone in the second case. The
+   * fleet is looked through once a round, and only if a job asks.
    */
-  private List<Preemption.Victim> victims(Team team, Job job) {
-    preempted.values().removeIf(at -> loop.millis() - at > Constants.KEEP_ROOM_MS);
-    boolean guaranteed = withinGuarantee(team, job);
-    Map<String, Double> beyond = new HashMap<>();
-    List<TaskView> tasks = new ArrayList<>();
-    List<String> machines = new ArrayList<>();
-    for (Roster.Seen seen : roster.all()) {
-      if (!roster.current(seen) || seen.view().state != MachineState.UP) {
-        continue;
-      }
-      for (TaskView t : seen.view().tasks) {
-        boolean on = t.known && t.state != TaskState.EXITED;
-        if (on && !preempted.containsKey(attempt(t.job, t.task, t.attempt))) {
-          tasks.add(t);
-          machines.add(seen.view().machine);
-          beyond.merge(t.team, t.cpus, Double::sum);
+  private final class Stoppable {
+    private List<Preemption.Victim> running;
+    private final Map<String, Double> beyond = new HashMap<>();
+    private int searches;
+
+    private void look() {
+      running = new ArrayList<>();
+      stopAgainAt = plannedAt + Constants.PREEMPT_LOOK_MS;
+      preempted.values().removeIf(at -> loop.millis() - at > Constants.KEEP_ROOM_MS);
+      for (Roster.Seen seen : roster.all()) {
+        if (!roster.current(seen) || seen.view().state != MachineState.UP) {
+          continue;
+        }
+        for (TaskView t : seen.view().tasks) {
+          if (t.known && t.state != TaskState.EXITED) {
+            running.add(
+                new Preemption.Victim(
+                    seen.view().machine, t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram, t.ageS));
+            beyond.merge(t.team, t.cpus, Double::sum);
+          }
         }
       }
+      settings.facts().teams().forEach((name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
     }
-    settings.facts().teams().forEach((name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
-    List<Preemption.Victim> out = new ArrayList<>();
-    for (int i = 0; i < tasks.size(); i++) {
-      TaskView t = tasks.get(i);
-      boolean lower = t.rank > job.spec.rank().ordinal();
-      boolean borrowed =
-          guaranteed
-              && !t.team.equals(team.name)
-              && t.rank > JobSpec.Rank.PRODUCTION.ordinal()
-              && beyond.getOrDefault(t.team, 0.0) >= t.cpus;
-      if (lower || borrowed) {
-        if (!lower) {
-          beyond.merge(t.team, -t.cpus, Double::sum);
+
+    List<Preemption.Victim> victims(Team team, Job job) {
+      if (running == null) {
+        look();
+      }
+      boolean guaranteed = withinGuarantee(team, job);
+      Map<String, Double> borrowed = new HashMap<>(beyond);
+      List<Preemption.Victim> out = new ArrayList<>();
+      for (Preemption.Victim v : running) {
+        boolean lower = v.rank() > job.spec.rank().ordinal();
+        boolean lent =
+            guaranteed
+                && !v.team().equals(team.name)
+                && v.rank() > JobSpec.Rank.PRODUCTION.ordinal()
+                && borrowed.getOrDefault(v.team(), 0.0) >= v.cpus();
+        if ((lower || lent) && !preempted.containsKey(new Attempt(v.job(), v.task(), v.attempt()))) {
+          if (!lower) {
+            borrowed.merge(v.team(), -v.cpus(), Double::sum);
+          }
+          out.add(v);
         }
-        out.add(
-            new Preemption.Victim(
-                machines.get(i), t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram, t.ageS));
       }
+      return out;
     }
-    return out;
   }
 
   /** Whether the job fits its team's guarantee together with the team's earlier unfinished jobs. */
@@ -1164,17 +1211,12 @@
     return cpus <= team.limits.cpus() + Constants.EPSILON && gpus <= team.limits.gpus() + Constants.EPSILON;
   }
 
-  private static String noRoom(int tasks, JobSpec spec) {
-    return String.format(
-        "no machines have room for %d tasks of %.1f CPUs and %.1f GB at once", tasks, spec.cpus(), spec.ram());
-  }
-
   private void carryOut(Team team, Job job, Planner.Plan plan) {
     long now = loop.nanos();
     List<Integer> tasks = TaskRanges.first(job.waiting, plan.tasks());
     int next = 0;
     job.started = true;
-    job.waitsBecause("");
+    job.waitsBecause(WaitReason.NONE);
     for (Planner.Slot slot : plan.slots()) {
       MachineOwner place = share.machines().of().get(slot.room().machine);
       for (int i = 0; i < slot.tasks(); i++) {
@@ -1182,9 +1224,9 @@
         String owner = slot.room().owner;
         Placed p =
             new Placed(
-                task, team.nextAttempt(), slot.room().machine, place.generation(), owner,
+                job, task, team.nextAttempt(), slot.room().machine, place.generation(), owner,
                 linkRounds.getOrDefault(owner, 0), slot.room().zone, TaskPhase.REQUESTED, now);
-        job.place(p);
+        place(job, p);
         JobSpec s = job.spec;
         boolean sent =
             links.ask(
@@ -1199,57 +1241,11 @@
     }
   }
 
-  /** The free room of every machine whose owner can be asked now. */
-  private List<Room> rooms() {
-    Map<String, Room> rooms = new LinkedHashMap<>();
-    Set<String> told = new HashSet<>();
-    for (Roster.Seen seen : roster.all()) {
-      MachineView view = seen.view();
-      Flavor flavor = flavors.apply(view.kind);
-      boolean usable =
-          view.state == MachineState.UP
-              && !view.faulty
-              && !view.vacating
-              && flavor != null
-              && roster.current(seen)
-              && share.machines().of().get(view.machine).seen()
-              && links.live(seen.owner())
-              && roster.ownerActs(seen.owner())
-              && view.tasks.stream().allMatch(t -> t.known || t.state == TaskState.EXITED);
-      if (!usable) {
-        continue;
-      }
-      Room room =
-          new Room(
-              view.machine, seen.owner(), view.kind, view.zone, view.spot,
-              seen.owner().equals(settings.label()), flavor.cpus(), flavor.gpus(), flavor.ram());
-      room.images = Set.copyOf(view.images);
-      for (TaskView t : view.tasks) {
-        if (t.state != TaskState.EXITED) {
-          room.take(t.cpus, t.gpus, t.ram);
-          told.add(attempt(t.job, t.task, t.attempt));
-        }
-      }
-      rooms.put(view.machine, room);
-    }
-    // Starts that their machine's owner has not told of yet take room as well.
-    for (Job job : jobs.values()) {
-      for (Placed p : job.placed.values()) {
-        Room room = rooms.get(p.machine);
-        if (room != null
-            && p.phase() != TaskPhase.FINISHED
-            && !told.contains(attempt(job.spec.id(), p.task, p.attempt))) {
-          room.take(job.spec.cpus(), job.spec.gpus(), job.spec.ram());
-        }
-      }
-    }
-    return new ArrayList<>(rooms.values());
-  }
-
   /** What waits, by classes of like tasks, within the teams' limits. */
   public List<DemandClass> demand() {
     List<DemandClass> out = new ArrayList<>();
     Map<String, double[]> left = new HashMap<>();
+    Map<List<Object>, DemandClass> arrays = new HashMap<>();
     for (Job job : queue()) {
       Team team = teams.get(job.spec.team());
       JobSpec s = job.spec;
@@ -1269,11 +1265,24 @@
       }
       room[0] -= n * s.cpus();
       room[1] -= n * s.gpus();
-      out.add(
+      double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
+      // Where it does not matter which job a task belongs to, jobs are told as one class.
+      boolean alike = !s.scatter() && !s.together();
+      DemandClass known = alike ? arrays.get(List.of(job.like, s.rank())) : null;
+      if (known != null) {
+        known.tasks += n;
+        known.waitedS = Math.max(known.waitedS, waitedS);
+        continue;
+      }
+      DemandClass told =
           new DemandClass(
-              s.team(), s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), n, s.reclaimable(), s.scatter(),
+              s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), n, s.reclaimable(), s.scatter(),
               s.together(), s.standing(), new ArrayList<>(s.kinds()), s.zone(),
-              (loop.nanos() - job.waitingSince) / 1e9, s.tasks(), job.need().zonesHeld()));
+              waitedS, s.tasks(), job.need().zonesHeld());
+      out.add(told);
+      if (alike) {
+        arrays.put(List.of(job.like, s.rank()), told);
+      }
     }
     return out;
   }
--- /dev/null
+++ b/src/main/java/org/sandford/job/LikeTasks.java
@@ -0,0 +1,12 @@
+package org.sandford.job;
+
+import java.util.Set;
+
+/** What the tasks of like jobs ask of their machines; they find places, or none, as a class. */
+record LikeTasks(
+    double cpus, double gpus, double ram, Set<String> kinds, String zone, boolean reclaimable, boolean together, boolean scatter) {
+  static LikeTasks of(JobSpec s) {
+    return new LikeTasks(
+        s.cpus(), s.gpus(), s.ram(), s.kinds(), s.zone(), s.reclaimable(), s.together(), s.scatter());
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/WaitReason.java
@@ -0,0 +1,38 @@
+package org.sandford.job;
+
+import java.util.Locale;
+
+/** Why a job's tasks wait. It is noted in every planning round, and put into words only for a reader. */
+sealed interface WaitReason {
+  WaitReason NONE = new Nothing();
+
+  String text();
+
+  /** Nothing is in the way. */
+  record Nothing() implements WaitReason {
+    @Override
+    public String text() {
+      return "";
+    }
+  }
+
+  /** The team uses all that its limit allows. */
+  record TeamLimit(String team, double cpus, double most, int tasks) implements WaitReason {
+    @Override
+    public String text() {
+      return String.format(
+          Locale.ROOT,
+          "team %s has no room for a task of %.1f CPUs within its limit of %.1f, and %d wait",
+          team, cpus, most, tasks);
+    }
+  }
+
+  /** No machines have room for so many tasks at once. */
+  record NoRoom(int tasks, double cpus, double ram) implements WaitReason {
+    @Override
+    public String text() {
+      return String.format(
+          Locale.ROOT, "no machines have room for %d tasks of %.1f CPUs and %.1f GB at once", tasks, cpus, ram);
+    }
+  }
+}
--- a/src/main/java/org/sandford/machine/Roster.java
+++ b/src/main/java/org/sandford/machine/Roster.java
@@ -58,7 +58,7 @@
     MachineOwner place = share.machines().of().get(s.view.machine);
     return place != null
         && place.generation() == s.view.generation
-        && Share.labelOf(place.owner()).equals(s.owner);
+        && Share.isLife(place.owner(), s.owner);
   }
 
   /** Whether that controller said last that its hold is good. */
--- a/src/main/java/org/sandford/net/NettyHttpClient.java
+++ b/src/main/java/org/sandford/net/NettyHttpClient.java
@@ -22,7 +22,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.sandford.Constants;
 import org.sandford.core.HttpCalls;
@@ -30,7 +32,11 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Keeps connections open per address; one request at a time on each, none pipelined. */
+/**
+ * Keeps connections open per address; one request at a time on each, none pipelined. Workers are many
+ * and sockets few, so only so many connections to them are open at once: the one that was idle the
+ * longest makes way, and what finds none waits its turn. The services' connections do not count.
+ */
 public final class NettyHttpClient implements HttpCalls {
   private static final Logger log = LoggerFactory.getLogger(NettyHttpClient.class);
   private static final int RESPONSE_BYTES = 64 * 1024 * 1024;
@@ -40,9 +46,16 @@
   private final NettyLoop loop;
   private final Bootstrap bootstrap;
   private final Map<String, ArrayDeque<Connection>> idle = new HashMap<>();
+  private final Set<Connection> parked = new LinkedHashSet<>();
+  private final ArrayDeque<Runnable> turns = new ArrayDeque<>();
+  private final Set<String> services;
+  private final int most;
+  private int open;
 
-  public NettyHttpClient(NettyLoop loop) {
+  public NettyHttpClient(NettyLoop loop, Set<String> services, int most) {
     this.loop = loop;
+    this.services = Set.copyOf(services);
+    this.most = most;
     this.bootstrap =
         new Bootstrap()
             .group(loop.group())
@@ -67,17 +80,41 @@
     ArrayDeque<Connection> free = idle.get(address);
     while (free != null && !free.isEmpty()) {
       Connection connection = free.pollLast();
+      parked.remove(connection);
       if (connection.channel.isActive()) {
         connection.start(call, request);
         return;
       }
     }
-    connect(address, call, request);
+    if (services.contains(address)) {
+      connect(address, call, request);
+    } else {
+      turns.addLast(() -> connect(address, call, request));
+      takeTurns();
+    }
+  }
+
+  private void takeTurns() {
+    while (!turns.isEmpty() && open < most) {
+      turns.pollFirst().run();
+    }
+    if (!turns.isEmpty() && !parked.isEmpty()) {
+      // Its end, once it is closed, lets the next one have its turn.
+      Connection oldest = parked.iterator().next();
+      parked.remove(oldest);
+      oldest.channel.close();
+    }
   }
 
   private void connect(String address, Call call, FullHttpRequest request) {
+    if (call.finished) {
+      request.release();
+      return;
+    }
     HostAndPort target = HostAndPort.fromString(address);
     Connection connection = new Connection(address);
+    boolean counts = !services.contains(address);
+    open += counts ? 1 : 0;
     bootstrap
         .clone()
         .handler(
@@ -92,7 +129,14 @@
         .connect(new InetSocketAddress(target.getHost(), target.getPort()))
         .addListener(
             (io.netty.channel.ChannelFuture future) -> {
+              if (counts) {
+                future.channel().closeFuture().addListener(closed -> {
+                  open--;
+                  takeTurns();
+                });
+              }
               if (!future.isSuccess()) {
+                future.channel().close();
                 request.release();
                 call.finish(NOT_SENT);
               } else if (call.finished) {
@@ -165,6 +209,10 @@
 
     void park() {
       idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(this);
+      if (!services.contains(address)) {
+        parked.add(this);
+        takeTurns();
+      }
     }
 
     @Override
@@ -184,10 +232,11 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      ArrayDeque<Connection> parked = idle.get(address);
-      if (parked != null) {
-        parked.remove(this);
-        if (parked.isEmpty()) {
+      parked.remove(this);
+      ArrayDeque<Connection> free = idle.get(address);
+      if (free != null) {
+        free.remove(this);
+        if (free.isEmpty()) {
           idle.remove(address);
         }
       }
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -49,6 +49,23 @@
     return commit(need, count, best, allOrNone);
   }
 
+  /**
+   * At the most how many of the tasks the rooms hold, counted up to {@code enough}; spreading rules are
+   * left out. It costs a look at each room, so a plan that cannot succeed need not be made.
+   */
+  public static int bound(Need need, int enough, Collection<Room> rooms) {
+    int sum = 0;
+    for (Room room : rooms) {
+      if (need.allows(room)) {
+        sum += Math.min(enough, need.fitting(room));
+        if (sum >= enough) {
+          return enough;
+        }
+      }
+    }
+    return sum;
+  }
+
   /** A job that must stay together keeps the zone it has; otherwise every zone is tried. */
   private static Set<String> zonesFor(Need need, Collection<Room> rooms) {
     Set<String> held = new TreeSet<>();
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import org.sandford.Constants;
 
 /**
@@ -45,57 +46,66 @@
         free.put(room, new double[] {room.freeCpus, room.freeGpus, room.freeRam});
       }
     }
+    // Only a machine that was chosen changes, so the others' offers are worked out once.
+    PriorityQueue<Offer> offers = new PriorityQueue<>();
+    int order = 0;
+    for (Map.Entry<Room, double[]> e : free.entrySet()) {
+      offer(need, e.getKey(), e.getValue(), byMachine, order++, offers);
+    }
     Map<Room, Eviction> out = new LinkedHashMap<>();
     int left = count;
     String together = need.together() ? zones.keySet().stream().findFirst().orElse("") : "";
-    while (left > 0) {
-      Room best = null;
-      List<Victim> bestStop = null;
-      double bestLoss = Double.MAX_VALUE;
-      for (Map.Entry<Room, double[]> e : free.entrySet()) {
-        Room room = e.getKey();
-        boolean zoneFits = zones.getOrDefault(room.zone, 0) < need.scatterLimit() && (together.isEmpty() || together.equals(room.zone));
-        if (!zoneFits) {
-          continue;
-        }
-        List<Victim> stop = enough(need, e.getValue(), byMachine.getOrDefault(room.machine, List.of()));
-        if (stop == null) {
-          continue;
-        }
-        double loss = stop.stream().mapToDouble(Victim::loss).sum();
-        if (loss < bestLoss) {
-          best = room;
-          bestStop = stop;
-          bestLoss = loss;
-        }
-      }
-      if (best == null) {
-        break;
+    while (left > 0 && !offers.isEmpty()) {
+      Offer best = offers.poll();
+      Room room = best.room;
+      boolean zoneFits =
+          zones.getOrDefault(room.zone, 0) < need.scatterLimit()
+              && (together.isEmpty() || together.equals(room.zone));
+      if (!zoneFits) {
+        continue;
       }
-      double[] f = free.get(best);
-      for (Victim v : bestStop) {
+      double[] f = free.get(room);
+      for (Victim v : best.stop) {
         f[0] += v.cpus;
         f[1] += v.gpus;
         f[2] += v.ram;
-        byMachine.get(best.machine).remove(v);
+        byMachine.get(room.machine).remove(v);
       }
       f[0] -= need.cpus();
       f[1] -= need.gpus();
       f[2] -= need.ram();
-      Eviction had = out.getOrDefault(best, new Eviction(best, List.of(), 0));
+      Eviction had = out.getOrDefault(room, new Eviction(room, List.of(), 0));
       List<Victim> all = new ArrayList<>(had.victims);
-      all.addAll(bestStop);
-      out.put(best, new Eviction(best, all, had.tasks + 1));
-      zones.merge(best.zone, 1, Integer::sum);
+      all.addAll(best.stop);
+      out.put(room, new Eviction(room, all, had.tasks + 1));
+      zones.merge(room.zone, 1, Integer::sum);
       if (need.together()) {
-        together = best.zone;
+        together = room.zone;
       }
       left--;
+      offer(need, room, f, byMachine, best.order, offers);
     }
     boolean useful = allOrNone ? left == 0 : left < count;
     return useful ? new ArrayList<>(out.values()) : null;
   }
 
+  /** What one more task on this machine would cost. */
+  private record Offer(Room room, List<Victim> stop, double loss, int order) implements Comparable<Offer> {
+    @Override
+    public int compareTo(Offer other) {
+      int byLoss = Double.compare(loss, other.loss);
+      return byLoss != 0 ? byLoss : Integer.compare(order, other.order);
+    }
+  }
+
+  private static void offer(
+      Need need, Room room, double[] free, Map<String, List<Victim>> byMachine, int order, PriorityQueue<Offer> offers) {
+    List<Victim> stop = enough(need, free, byMachine.getOrDefault(room.machine, List.of()));
+    if (stop != null) {
+      offers.add(new Offer(room, stop, stop.stream().mapToDouble(Victim::loss).sum(), order));
+    }
+  }
+
   /** The first victims that make room for one task, or null. */
   private static List<Victim> enough(Need need, double[] free, List<Victim> victims) {
     double cpus = free[0];
--- a/src/main/java/org/sandford/share/AssignmentMap.java
+++ b/src/main/java/org/sandford/share/AssignmentMap.java
@@ -1,15 +1,22 @@
 package org.sandford.share;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.sandford.core.Json;
 
 /**
  * The assignment map: who owns which team and which machine, each with the generation of its last
- * change. It is stored in two parts, since machines change often and every record write leans on the
- * teams' part. An owner is one life of a controller: label and incarnation.
+ * change. The teams are one value, on whose revision every record write leans. The machines are many
+ * values, the parts, since a fleet outgrows what the store takes as one; each change of any part also
+ * writes the head, so that changes of different parts cannot overtake each other. An owner is one life
+ * of a controller: label and incarnation.
  */
 public final class AssignmentMap {
   private AssignmentMap() {}
@@ -56,44 +63,97 @@
     }
   }
 
-  /** The machines' part with its revision; 0 before the first. */
-  public record Machines(long revision, long last, Map<String, MachineOwner> of) {
-    static final Machines NONE = new Machines(0, 0, Map.of());
-
+  /** Some of the machines, stored as one value. */
+  public record Part(long revision, Map<String, MachineOwner> of) {
+    /** Owners and sorts of machines are named once and then by their place, which keeps parts small. */
     ObjectNode json() {
-      ObjectNode root = Json.object().put("n", last);
+      Table owners = new Table();
+      Table sorts = new Table();
+      ObjectNode root = Json.object();
       ObjectNode machines = root.putObject("m");
       of.forEach(
           (name, m) ->
               machines
                   .putArray(name)
-                  .add(m.owner)
+                  .add(owners.place(m.owner))
                   .add(m.generation)
                   .add(m.address)
-                  .add(m.kind)
-                  .add(m.zone)
-                  .add(m.spot ? 1 : 0));
+                  .add(sorts.place(m.kind + "/" + m.zone + "/" + (m.spot ? "s" : "o"))));
+      root.set("o", owners.json());
+      root.set("s", sorts.json());
       return root;
     }
 
-    static Machines read(JsonNode root, long revision) {
+    static Part read(JsonNode root, long revision) {
+      List<String[]> sorts = new ArrayList<>();
+      root.path("s").forEach(sort -> sorts.add(sort.asText().split("/", 3)));
+      List<String> owners = new ArrayList<>();
+      root.path("o").forEach(owner -> owners.add(owner.asText()));
       Map<String, MachineOwner> of = new TreeMap<>();
       root.path("m")
           .fields()
           .forEachRemaining(
               e -> {
                 JsonNode m = e.getValue();
+                String[] sort = sorts.get(m.path(3).asInt());
                 of.put(
                     e.getKey(),
                     new MachineOwner(
-                        m.path(0).asText(),
+                        owners.get(m.path(0).asInt()),
                         m.path(1).asLong(),
                         m.path(2).asText(),
-                        m.path(3).asText(),
-                        m.path(4).asText(),
-                        m.path(5).asInt() == 1));
+                        sort[0],
+                        sort[1],
+                        sort[2].equals("s")));
               });
-      return new Machines(revision, root.path("n").asLong(), of);
+      return new Part(revision, of);
+    }
+  }
+
+  /** Texts with their places. */
+  private static final class Table {
+    private final Map<String, Integer> places = new HashMap<>();
+    private final ArrayNode texts = Json.array();
+
+    int place(String text) {
+      return places.computeIfAbsent(
+          text,
+          t -> {
+            texts.add(t);
+            return texts.size() - 1;
+          });
+    }
+
+    ArrayNode json() {
+      return texts;
+    }
+  }
+
+  /**
+   * The machines of all parts.
+   *
+   * @param revision the head's revision; 0 before the first
+   * @param last the last generation that was given
+   * @param parts the parts by number
+   * @param of all machines
+   */
+  public record Machines(
+      long revision, long last, Map<Integer, Part> parts, Map<String, MachineOwner> of) {
+    static final Machines NONE = new Machines(0, 0, Map.of(), Map.of());
+
+    /** With these parts in place of the ones of the same numbers, where they are newer. */
+    Machines with(long headRevision, long headLast, Map<Integer, Part> newer) {
+      Map<Integer, Part> next = new TreeMap<>(parts);
+      newer.forEach(
+          (number, part) -> next.merge(number, part, (old, now) -> now.revision > old.revision ? now : old));
+      Map<String, MachineOwner> all = new TreeMap<>();
+      next.values().forEach(part -> all.putAll(part.of));
+      boolean headNewer = headRevision > revision;
+      return new Machines(
+          headNewer ? headRevision : revision,
+          headNewer ? headLast : last,
+          Collections.unmodifiableMap(next),
+          Collections.unmodifiableMap(all));
     }
   }
 }
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -13,10 +15,13 @@
 import org.sandford.Constants;
 import org.sandford.core.Json;
 import org.sandford.core.Loop;
+import org.sandford.peer.wire.MapKnown;
+import org.sandford.peer.wire.MapPart;
 import org.sandford.peer.wire.MapShown;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.MachineOwner;
 import org.sandford.share.AssignmentMap.Machines;
+import org.sandford.share.AssignmentMap.Part;
 import org.sandford.share.AssignmentMap.TeamOwner;
 import org.sandford.share.AssignmentMap.Teams;
 import org.sandford.state.StateClient;
@@ -38,6 +43,7 @@
   private static final String LEADER = "c/leader";
   private static final String TEAMS = "c/teams";
   private static final String MACHINES = "c/machines";
+  private static final String PART = "c/machines/";
   private static final String ADDED = "c/new/";
   private static final String FINALS = "fin/";
 
@@ -99,7 +105,13 @@
   // The leader's own wishes.
   private long leaderSince;
   private boolean writing;
-  private long movedAt;
+  private boolean leading;
+  private long levelledAt;
+  private long mapAgainAt;
+  private long shownTeams;
+  private long shownMachines;
+  private long settledTeams;
+  private long settledMachines;
   private final Map<String, NewMachine> adds = new LinkedHashMap<>();
   private final Set<String> removes = new TreeSet<>();
   private final Map<String, String> moves = new LinkedHashMap<>();
@@ -136,6 +148,12 @@
     return at < 0 ? ownerId : ownerId.substring(0, at);
   }
 
+  /** Whether the owner is a life of the controller with this label. */
+  public static boolean isLife(String ownerId, String label) {
+    int at = label.length();
+    return ownerId.length() > at && ownerId.charAt(at) == '#' && ownerId.startsWith(label);
+  }
+
   /** Whether this controller may start work and speak for its teams. */
   public boolean holdValid() {
     return membership == Membership.MEMBER && loop.nanos() < holdUntil;
@@ -462,7 +480,10 @@
     } else if (key.equals(TEAMS) && entry.value() != null) {
       takeTeams(Teams.read(entry.value(), entry.revision()));
     } else if (key.equals(MACHINES) && entry.value() != null) {
-      takeMachines(Machines.read(entry.value(), entry.revision()));
+      takeMachines(entry.revision(), entry.value().path("n").asLong(), Map.of());
+    } else if (key.startsWith(PART) && entry.value() != null) {
+      int number = Integer.parseInt(key.substring(PART.length()));
+      takeMachines(0, 0, Map.of(number, Part.read(entry.value(), entry.revision())));
     }
   }
 
@@ -474,12 +495,16 @@
     return true;
   }
 
-  private boolean takeMachines(Machines newer) {
-    if (newer.revision() <= machines.revision()) {
-      return false;
+  private boolean takeMachines(long headRevision, long last, Map<Integer, Part> parts) {
+    boolean newer = headRevision > machines.revision();
+    for (Map.Entry<Integer, Part> e : parts.entrySet()) {
+      Part known = machines.parts().get(e.getKey());
+      newer |= known == null || e.getValue().revision() > known.revision();
     }
-    machines = newer;
-    return true;
+    if (newer) {
+      machines = machines.with(headRevision, last, parts);
+    }
+    return newer;
   }
 
   /** What a peer shows of the map; a newer one makes a controller that was cut off step down. */
@@ -488,17 +513,42 @@
     if (map.teamsRevision > teams.revision()) {
       changed |= takeTeams(Teams.read(Json.read(map.teams), map.teamsRevision));
     }
-    if (map.machinesRevision > machines.revision()) {
-      changed |= takeMachines(Machines.read(Json.read(map.machines), map.machinesRevision));
-    }
+    Map<Integer, Part> parts = new TreeMap<>();
+    map.parts.forEach(p -> parts.put(p.number, Part.read(Json.read(p.machines), p.revision)));
+    changed |= takeMachines(map.machinesRevision, map.machinesLast, parts);
     if (changed) {
       listener.mapChanged();
     }
   }
 
-  public MapShown show() {
+  /** How new the map is here, for peers that may know less or more. Asked for once a beat. */
+  public MapKnown known() {
+    settledTeams = shownTeams;
+    settledMachines = shownMachines;
+    shownTeams = teams.revision();
+    shownMachines = machines.revision();
+    return new MapKnown(shownTeams, shownMachines);
+  }
+
+  /**
+   * What a peer lacks of the map, or null. Only what was known here a beat ago is shown: the peer's own
+   * watch is as quick as ours, unless it was cut off from the store.
+   */
+  public MapShown lacking(MapKnown peer) {
+    boolean lacksTeams = peer.teamsRevision < settledTeams;
+    boolean lacksMachines = peer.machinesRevision < settledMachines;
+    if (!lacksTeams && !lacksMachines) {
+      return null;
+    }
+    List<MapPart> parts = new ArrayList<>();
+    machines.parts().forEach(
+        (number, part) -> {
+          if (part.revision() > peer.machinesRevision) {
+            parts.add(new MapPart(number, part.revision(), Json.text(part.json())));
+          }
+        });
     return new MapShown(
-        teams.revision(), Json.text(teams.json()), machines.revision(), Json.text(machines.json()));
+        teams.revision(), Json.text(teams.json()), machines.revision(), machines.last(), parts);
   }
 
   // --- leadership -----------------------------------------------------------------------------------
@@ -542,7 +592,7 @@
       NewMachine before = adds.get(machine.name());
       if (before == null || before.address().isEmpty()) {
         adds.put(machine.name(), machine);
-        lead();
+        leadSoon();
       }
     }
   }
@@ -553,13 +603,13 @@
     moves.remove(name);
     if (machines.of().containsKey(name)) {
       removes.add(name);
-      lead();
+      leadSoon();
     }
   }
 
   public void moveMachine(String name, String toId) {
     moves.put(name, toId);
-    lead();
+    leadSoon();
   }
 
   /** The team's owner has stopped speaking for it. */
@@ -567,7 +617,7 @@
     TeamOwner now = teams.of().get(team);
     if (now != null && now.generation() == generation) {
       yielded.put(team, generation);
-      lead();
+      leadSoon();
     }
   }
 
@@ -613,6 +663,17 @@
     return byOwner;
   }
 
+  private void leadSoon() {
+    if (!leading) {
+      leading = true;
+      loop.execute(
+          () -> {
+            leading = false;
+            lead();
+          });
+    }
+  }
+
   /** Brings the map in line with who is there; one transaction at a time. */
   private void lead() {
     elect();
@@ -629,7 +690,16 @@
     }
     levelShares();
     Teams nextTeams = planTeams();
-    Machines nextMachines = planMachines();
+    Set<String> live = new HashSet<>(members.values());
+    boolean hurried =
+        nextTeams != teams
+            || !removes.isEmpty()
+            || machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()));
+    if (!hurried && loop.millis() < mapAgainAt) {
+      return;
+    }
+    Map<Integer, Part> changed = new TreeMap<>();
+    long last = planMachines(live, changed);
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(LEADER, leaderRevision);
     List<Op> ops = new ArrayList<>();
@@ -637,14 +707,21 @@
       conditions.put(TEAMS, teams.revision());
       ops.add(Op.put(TEAMS, nextTeams.json()));
     }
-    if (nextMachines != machines) {
+    if (!changed.isEmpty()) {
       conditions.put(MACHINES, machines.revision());
-      ops.add(Op.put(MACHINES, nextMachines.json()));
+      ops.add(Op.put(MACHINES, Json.object().put("n", last)));
+      changed.forEach(
+          (number, part) -> {
+            conditions.put(PART + number, part.revision());
+            ops.add(Op.put(PART + number, part.json()));
+          });
     }
     if (ops.isEmpty()) {
       return;
     }
     writing = true;
+    double pauseMs = ops.size() * 1000 / (settings.facts().stateWriteRps() * Constants.MAP_RATE_SHARE);
+    mapAgainAt = loop.millis() + Math.max(Constants.MAP_PAUSE_MS, (long) pauseMs);
     state.txn(
         conditions,
         ops,
@@ -655,8 +732,10 @@
             if (nextTeams != teams) {
               takeTeams(new Teams(result.revision(), nextTeams.last(), nextTeams.of()));
             }
-            if (nextMachines != machines) {
-              takeMachines(new Machines(result.revision(), nextMachines.last(), nextMachines.of()));
+            if (!changed.isEmpty()) {
+              Map<Integer, Part> written = new TreeMap<>();
+              changed.forEach((number, part) -> written.put(number, new Part(result.revision(), part.of())));
+              takeMachines(result.revision(), last, written);
             }
             settleWishes();
             listener.mapChanged();
@@ -667,12 +746,16 @@
         });
   }
 
-  /** Moves a few machines from the largest share to the smallest, each with a new generation. */
+  /**
+   * Moves machines from the largest share to the smallest, each with a new generation: a part of the
+   * surplus at a time, so that the shares' owners report their room in between.
+   */
   private void levelShares() {
     long now = loop.nanos();
-    if (members.size() < 2 || now - movedAt < Constants.MOVE_PAUSE_MS * 1_000_000L) {
+    if (members.size() < 2 || now - levelledAt < Constants.MOVE_PAUSE_MS * 1_000_000L) {
       return;
     }
+    levelledAt = now;
     Map<String, List<String>> shares = new TreeMap<>();
     members.values().forEach(member -> shares.put(member, new ArrayList<>()));
     machines.of().forEach((name, m) -> shares.computeIfPresent(m.owner(), (o, names) -> {
@@ -685,15 +768,13 @@
     if (surplus < Constants.MACHINES_MOVED_AT_ONCE) {
       return;
     }
-    movedAt = now;
+    int number = Math.max(Constants.MACHINES_MOVED_AT_ONCE, (int) (surplus * Constants.SURPLUS_MOVED_AT_ONCE));
     Map<String, Integer> zones = new TreeMap<>();
     shares.get(poor).forEach(name -> zones.merge(machines.of().get(name).zone(), 1, Integer::sum));
     shares.get(rich).sort(
         Comparator.comparingInt((String name) -> zones.getOrDefault(machines.of().get(name).zone(), 0)));
-    shares.get(rich).stream()
-        .limit(Constants.MACHINES_MOVED_AT_ONCE)
-        .forEach(name -> moves.put(name, poor));
-    log.info("{} machines move from {} to {}", Constants.MACHINES_MOVED_AT_ONCE, rich, poor);
+    shares.get(rich).stream().limit(number).forEach(name -> moves.put(name, poor));
+    log.info("{} machines move from {} to {}", number, rich, poor);
   }
 
   private void settleWishes() {
@@ -760,59 +841,97 @@
     return changed ? new Teams(teams.revision(), last, next) : teams;
   }
 
-  private Machines planMachines() {
-    Map<String, MachineOwner> next = new TreeMap<>(machines.of());
-    long last = machines.last();
-    boolean changed = false;
+  /**
+   * Puts what changes of the machines' parts into {@code changed}, each with the revision that it
+   * follows, and returns the last generation given. One transaction holds only so much; what does not
+   * fit is found anew after it.
+   */
+  private long planMachines(Set<String> live, Map<Integer, Part> changed) {
+    Map<Integer, Map<String, MachineOwner>> next = new TreeMap<>();
+    Map<Integer, Integer> sizes = new TreeMap<>();
+    machines.parts().forEach((number, part) -> sizes.put(number, part.of().size()));
+    Map<String, Integer> placeOf = new HashMap<>();
+    machines.parts().forEach((number, part) -> part.of().keySet().forEach(name -> placeOf.put(name, number)));
     for (String name : removes) {
-      changed |= next.remove(name) != null;
+      Integer number = placeOf.get(name);
+      if (number != null) {
+        draft(next, number).remove(name);
+      }
     }
     for (NewMachine add : adds.values()) {
-      MachineOwner known = next.get(add.name());
+      MachineOwner known = machines.of().get(add.name());
       if (known == null) {
-        next.put(add.name(), new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot()));
-        changed = true;
-      } else if (!known.seen() && !add.address().isEmpty()) {
-        next.put(add.name(), known.at(add.address()));
-        changed = true;
+        MachineOwner fresh = new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot());
+        int number = roomiest(sizes);
+        sizes.merge(number, 1, Integer::sum);
+        draft(next, number).put(add.name(), fresh);
+      } else if (!known.seen() && !add.address().isEmpty() && !removes.contains(add.name())) {
+        draft(next, placeOf.get(add.name())).put(add.name(), known.at(add.address()));
       }
     }
-    Map<String, Integer> sizes = new TreeMap<>();
-    next.values().forEach(m -> sizes.merge(m.owner() + "/" + m.zone(), 1, Integer::sum));
-    next.values().forEach(m -> sizes.merge(m.owner(), 1, Integer::sum));
-    for (Map.Entry<String, MachineOwner> e : new TreeMap<>(next).entrySet()) {
-      MachineOwner m = e.getValue();
-      String wish = moves.get(e.getKey());
-      boolean owned = members.containsValue(m.owner());
-      boolean moved = owned && wish != null && members.containsValue(wish) && !wish.equals(m.owner());
-      if (owned && !moved) {
+    Map<String, Integer> owned = new HashMap<>();
+    for (MachineOwner m : machines.of().values()) {
+      owned.merge(m.owner() + "/" + m.zone(), 1, Integer::sum);
+      owned.merge(m.owner(), 1, Integer::sum);
+    }
+    long last = machines.last();
+    Set<Integer> numbers = new TreeSet<>(machines.parts().keySet());
+    numbers.addAll(next.keySet());
+    int bytes = 0;
+    for (int number : numbers) {
+      Map<String, MachineOwner> before = next.getOrDefault(number, partOf(number));
+      Map<String, MachineOwner> after = new TreeMap<>(before);
+      for (Map.Entry<String, MachineOwner> e : before.entrySet()) {
+        MachineOwner m = e.getValue();
+        String wish = moves.get(e.getKey());
+        boolean wished = wish != null && live.contains(wish);
+        if (live.contains(m.owner()) && (!wished || wish.equals(m.owner()))) {
+          continue;
+        }
+        String to = wished ? wish : poorest(owned, m.zone());
+        if (to != null) {
+          owned.merge(to + "/" + m.zone(), 1, Integer::sum);
+          owned.merge(to, 1, Integer::sum);
+          after.put(e.getKey(), m.ownedBy(to, ++last));
+        }
+      }
+      if (after.equals(partOf(number))) {
         continue;
       }
-      String to = wish != null && members.containsValue(wish) ? wish : poorest(sizes, m.zone());
-      if (to == null) {
+      Part known = machines.parts().get(number);
+      Part part = new Part(known == null ? 0 : known.revision(), after);
+      int size = Json.bytes(part.json()).length;
+      if (size > settings.facts().stateValueBytes()) {
+        log.error("part {} of the assignment map outgrows the store's value limit; it is left as it is", number);
         continue;
       }
-      sizes.merge(to + "/" + m.zone(), 1, Integer::sum);
-      sizes.merge(to, 1, Integer::sum);
-      next.put(e.getKey(), m.ownedBy(to, ++last));
-      changed = true;
-    }
-    if (!changed) {
-      return machines;
-    }
-    Machines planned = new Machines(machines.revision(), last, next);
-    if (Json.bytes(planned.json()).length > settings.facts().stateValueBytes()) {
-      log.error("the assignment map no longer fits the store's value limit; nothing is added to it");
-      return machines;
+      bytes += size;
+      // The teams and the head may go with the parts.
+      if (bytes > Constants.TXN_BYTES || changed.size() + 2 >= settings.facts().stateTxnOps()) {
+        break;
+      }
+      changed.put(number, part);
     }
-    return planned;
+    return last;
   }
 
-  /** Whether the map could take so many machines more within the store's value limit. */
-  public boolean mapHasRoomFor(int more) {
-    int size = Json.bytes(machines.json()).length;
-    int each = machines.of().isEmpty() ? 100 : size / machines.of().size() + 8;
-    return size + (long) each * (more + adds.size()) < settings.facts().stateValueBytes();
+  private Map<String, MachineOwner> partOf(int number) {
+    Part part = machines.parts().get(number);
+    return part == null ? Map.of() : part.of();
+  }
+
+  private Map<String, MachineOwner> draft(Map<Integer, Map<String, MachineOwner>> next, int number) {
+    return next.computeIfAbsent(number, n -> new TreeMap<>(partOf(n)));
+  }
+
+  /** The first part that can take one more machine: few and full parts make few writes. */
+  private int roomiest(Map<Integer, Integer> sizes) {
+    int number = 0;
+    double most = settings.facts().stateValueBytes() * Constants.MAP_PART_FILL / Constants.MAP_ENTRY_BYTES;
+    while (sizes.getOrDefault(number, 0) + 1 > most) {
+      number++;
+    }
+    return number;
   }
 
   /** Each share has every zone where possible: fewest machines in the zone, then fewest at all. */
--- a/src/main/java/org/sandford/state/RecordWriter.java
+++ b/src/main/java/org/sandford/state/RecordWriter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -21,13 +22,23 @@
  * again, since a transaction answered with a conflict was surely not applied.
  */
 public final class RecordWriter {
+  /** What a write is for, the earlier first. */
+  public enum Kind {
+    /** A job's end: an abort is answered, and tasks may be cleared, only after it. */
+    END,
+    /** A new job, whose user waits. */
+    NEW,
+    /** Finished tasks of an open job, which nobody waits for. */
+    PROGRESS
+  }
+
   /** One independent write. */
-  public record Write(Map<String, Long> conditions, List<Op> ops, boolean urgent, Consumer<Result> done) {}
+  public record Write(Map<String, Long> conditions, List<Op> ops, Kind kind, Consumer<Result> done) {}
 
   private final StateClient state;
   private final int maxOps;
-  private final ArrayDeque<Write> urgent = new ArrayDeque<>();
-  private final ArrayDeque<Write> waiting = new ArrayDeque<>();
+  private final EnumMap<Kind, ArrayDeque<Write>> waiting = new EnumMap<>(Kind.class);
+  private boolean storingProgress;
   private final Loop loop;
   private int inFlight;
   private boolean flushing;
@@ -36,17 +47,26 @@
     this.loop = loop;
     this.state = state;
     this.maxOps = maxOps;
+    for (Kind kind : Kind.values()) {
+      waiting.put(kind, new ArrayDeque<>());
+    }
   }
 
+  /** Writes that somebody waits for and that have not gone out. */
   public int backlog() {
-    return urgent.size() + waiting.size();
+    return waiting.get(Kind.END).size() + waiting.get(Kind.NEW).size();
   }
 
   public void write(Write write) {
-    (write.urgent ? urgent : waiting).addLast(write);
+    waiting.get(write.kind).addLast(write);
     flushSoon();
   }
 
+  /** Takes back a write that has not gone out; false when it has. */
+  public boolean withdraw(Write write) {
+    return waiting.get(write.kind).remove(write);
+  }
+
   private void flushSoon() {
     if (!flushing) {
       flushing = true;
@@ -61,10 +81,27 @@
   private void flush() {
     while (inFlight < Constants.TXNS_IN_FLIGHT && backlog() > 0) {
       List<Write> batch = new ArrayList<>();
-      boolean hurried = !urgent.isEmpty();
-      int bytes = gather(urgent, batch, 0);
-      gather(waiting, batch, bytes);
-      send(batch, hurried ? Priority.MAP : Priority.RECORD);
+      boolean hurried = !waiting.get(Kind.END).isEmpty();
+      int bytes = gather(waiting.get(Kind.END), batch, 0);
+      gather(waiting.get(Kind.NEW), batch, bytes);
+      inFlight++;
+      send(batch, hurried ? Priority.MAP : Priority.RECORD, () -> inFlight--);
+    }
+    if (storingProgress || waiting.get(Kind.PROGRESS).isEmpty()) {
+      return;
+    }
+    storingProgress = true;
+    if (state.hasSpare()) {
+      List<Write> batch = new ArrayList<>();
+      gather(waiting.get(Kind.PROGRESS), batch, 0);
+      send(batch, Priority.RECORD, () -> storingProgress = false);
+    } else {
+      loop.after(
+          Constants.STATE_RETRY_MS,
+          () -> {
+            storingProgress = false;
+            flush();
+          });
     }
   }
 
@@ -91,7 +128,7 @@
     return bytes;
   }
 
-  private void send(List<Write> batch, Priority priority) {
+  private void send(List<Write> batch, Priority priority, Runnable back) {
     Map<String, Long> conditions = new LinkedHashMap<>();
     List<Op> ops = new ArrayList<>();
     List<Write> sent = new ArrayList<>();
@@ -108,14 +145,13 @@
       ops.addAll(write.ops);
       sent.add(write);
     }
-    later.forEach(waiting::addFirst);
-    inFlight++;
+    later.forEach(write -> waiting.get(write.kind).addFirst(write));
     state.txn(
         conditions,
         ops,
         priority,
         result -> {
-          inFlight--;
+          back.run();
           finish(sent, result);
           flushSoon();
         });
@@ -130,7 +166,7 @@
       if (batch.size() == 1 || result.failed().stream().anyMatch(write.conditions::containsKey)) {
         write.done.accept(result);
       } else {
-        (write.urgent ? urgent : waiting).addFirst(write);
+        waiting.get(write.kind).addFirst(write);
       }
     }
   }
--- a/src/main/java/org/sandford/state/StateClient.java
+++ b/src/main/java/org/sandford/state/StateClient.java
@@ -88,15 +88,22 @@
   }
 
   private void pump() {
+    long wait = Long.MAX_VALUE;
     for (Priority priority : Priority.values()) {
       ArrayDeque<Queued> queue = queues.get(priority);
       while (!queue.isEmpty()) {
         Queued head = queue.peekFirst();
         // Renewals are never held up by our own accounting: losing a hold costs a takeover.
-        boolean free = priority == Priority.RENEWAL;
-        if (!free && (!requests.allows(1) || (head.writes > 0 && !writes.allows(head.writes)))) {
-          wakeIn(Math.max(requests.waitMillis(1), head.writes > 0 ? writes.waitMillis(head.writes) : 0));
-          return;
+        if (priority != Priority.RENEWAL) {
+          if (!requests.allows(1)) {
+            wakeIn(requests.waitMillis(1));
+            return;
+          }
+          if (head.writes > 0 && !writes.allows(head.writes)) {
+            // Reads behind it need not wait for the rate of changes.
+            wait = Math.min(wait, writes.waitMillis(head.writes));
+            break;
+          }
         }
         queue.pollFirst();
         requests.take(1);
@@ -106,6 +113,38 @@
         head.send.run();
       }
     }
+    if (wait < Long.MAX_VALUE) {
+      wakeIn(wait);
+    }
+  }
+
+  /** One request. What the store refuses for its rate alone was surely not carried out, and goes again. */
+  private void call(
+      Priority priority, double writeOps, String method, String path, byte[] body, int timeoutMs, Consumer<Reply> done) {
+    call(priority, writeOps, method, path, body, timeoutMs, done, Constants.STATE_BUSY_TRIES);
+  }
+
+  private void call(
+      Priority priority, double writeOps, String method, String path, byte[] body, int timeoutMs, Consumer<Reply> done, int tries) {
+    enqueue(
+        priority,
+        writeOps,
+        () ->
+            http.send(
+                address,
+                method,
+                path,
+                body,
+                timeoutMs,
+                reply -> {
+                  if (reply.status() == 429 && tries > 1) {
+                    loop.after(
+                        Constants.STATE_RETRY_MS,
+                        () -> call(priority, writeOps, method, path, body, timeoutMs, done, tries - 1));
+                  } else {
+                    done.accept(reply);
+                  }
+                }));
   }
 
   private void wakeIn(long millis) {
@@ -137,24 +176,21 @@
   }
 
   public void get(String key, Priority priority, BiConsumer<Entry, Boolean> done) {
-    enqueue(
+    call(
         priority,
         0,
-        () ->
-            http.send(
-                address,
-                "GET",
-                path(key),
-                null,
-                Constants.STATE_CALL_MS,
-                reply -> {
-                  if (reply.ok()) {
-                    JsonNode body = Json.read(reply.body());
-                    done.accept(new Entry(key, body.path("v"), body.path("stamp").asLong()), true);
-                  } else {
-                    done.accept(null, reply.status() == 404);
-                  }
-                }));
+        "GET",
+        path(key),
+        null,
+        Constants.STATE_CALL_MS,
+        reply -> {
+          if (reply.ok()) {
+            JsonNode body = Json.read(reply.body());
+            done.accept(new Entry(key, body.path("v"), body.path("stamp").asLong()), true);
+          } else {
+            done.accept(null, reply.status() == 404);
+          }
+        });
   }
 
   /** Reads all keys under a prefix, page by page; {@code done} gets null when a page failed. */
@@ -168,51 +204,50 @@
         "/store?under=" + query(prefix)
             + (since.isEmpty() ? "" : "&since=" + query(since))
             + "&limit=" + Constants.STORE_PAGE;
-    enqueue(
+    call(
         Priority.MAP,
         0,
-        () ->
-            http.send(
-                address,
-                "GET",
-                path,
-                null,
-                Constants.STATE_CALL_MS,
-                reply -> {
-                  if (!reply.ok()) {
-                    done.accept(null, -1L);
-                    return;
-                  }
-                  JsonNode body = Json.read(reply.body());
-                  String last = since;
-                  for (JsonNode item : body.path("entries")) {
-                    last = item.path("k").asText();
-                    sofar.add(new Entry(last, item.path("v"), item.path("stamp").asLong()));
-                  }
-                  // A watch from the first page's revision misses nothing of the later pages.
-                  long epoch = firstEpoch >= 0 ? firstEpoch : body.path("epoch").asLong();
-                  if (body.path("more").asBoolean() && !last.equals(since)) {
-                    listFrom(prefix, last, sofar, epoch, done);
-                  } else {
-                    done.accept(sofar, epoch);
-                  }
-                }));
+        "GET",
+        path,
+        null,
+        Constants.STATE_CALL_MS,
+        reply -> {
+          if (!reply.ok()) {
+            done.accept(null, -1L);
+            return;
+          }
+          JsonNode body = Json.read(reply.body());
+          String last = since;
+          for (JsonNode item : body.path("entries")) {
+            last = item.path("k").asText();
+            sofar.add(new Entry(last, item.path("v"), item.path("stamp").asLong()));
+          }
+          // A watch from the first page's revision misses nothing of the later pages.
+          long epoch = firstEpoch >= 0 ? firstEpoch : body.path("epoch").asLong();
+          if (body.path("more").asBoolean() && !last.equals(since)) {
+            listFrom(prefix, last, sofar, epoch, done);
+          } else {
+            done.accept(sofar, epoch);
+          }
+        });
+  }
+
+  /** Whether the store's rate of changes is far from used up, so that writes may go that can wait. */
+  public boolean hasSpare() {
+    return writes.allows(writes.most() * Constants.STATE_SPARE_SHARE);
   }
 
-  /** One transaction; it is sent once and never repeated here. */
+  /** One transaction; it is carried out once at the most. */
   public void txn(Map<String, Long> conditions, List<Op> ops, Priority priority, Consumer<Result> done) {
     byte[] body = Json.bytes(txnBody(conditions, ops));
-    enqueue(
+    call(
         priority,
         ops.size(),
-        () ->
-            http.send(
-                address,
-                "POST",
-                "/txn",
-                body,
-                Constants.STATE_CALL_MS,
-                reply -> done.accept(result(reply))));
+        "POST",
+        "/txn",
+        body,
+        Constants.STATE_CALL_MS,
+        reply -> done.accept(result(reply)));
   }
 
   static ObjectNode txnBody(Map<String, Long> conditions, List<Op> ops) {
@@ -253,32 +288,26 @@
   /** Asks for a hold; {@code done} gets its id, or 0. */
   public void createHold(int ttlMs, Consumer<Long> done) {
     byte[] body = Json.bytes(Json.object().put("ttl_ms", ttlMs));
-    enqueue(
+    call(
         Priority.RENEWAL,
         0,
-        () ->
-            http.send(
-                address,
-                "POST",
-                "/holds",
-                body,
-                Constants.STATE_CALL_MS,
-                reply -> done.accept(reply.ok() ? Json.read(reply.body()).path("permit").asLong() : 0L)));
+        "POST",
+        "/holds",
+        body,
+        Constants.STATE_CALL_MS,
+        reply -> done.accept(reply.ok() ? Json.read(reply.body()).path("permit").asLong() : 0L));
   }
 
   /** Renews a hold; {@code done} gets the status. */
   public void renewHold(long hold, Consumer<Integer> done) {
-    enqueue(
+    call(
         Priority.RENEWAL,
         0,
-        () ->
-            http.send(
-                address,
-                "POST",
-                "/holds/" + hold + "/renew",
-                new byte[] {'{', '}'},
-                Constants.HOLD_CALL_MS,
-                reply -> done.accept(reply.status())));
+        "POST",
+        "/holds/" + hold + "/renew",
+        new byte[] {'{', '}'},
+        Constants.HOLD_CALL_MS,
+        reply -> done.accept(reply.status()));
   }
 
   /** What a watch saw. {@code gap} means that changes were missed and the keys must be read again. */
@@ -288,34 +317,31 @@
   public void follow(String prefix, long since, Consumer<Changes> done) {
     String path =
         "/follow?under=" + query(prefix) + "&since=" + since + "&block_ms=" + Constants.WATCH_BLOCK_MS;
-    enqueue(
+    call(
         Priority.RENEWAL,
         0,
-        () ->
-            http.send(
-                address,
-                "GET",
-                path,
-                null,
-                Constants.WATCH_CALL_MS,
-                reply -> {
-                  if (!reply.ok()) {
-                    done.accept(new Changes(since, List.of(), reply.status() == 410, false));
-                    return;
-                  }
-                  JsonNode body = Json.read(reply.body());
-                  Map<String, Entry> latest = new LinkedHashMap<>();
-                  for (JsonNode event : body.path("log")) {
-                    boolean put = event.has("put");
-                    String key = event.path(put ? "put" : "remove").asText();
-                    long stamp = event.path("stamp").asLong();
-                    Entry known = latest.get(key);
-                    if (known == null || known.revision() <= stamp) {
-                      latest.put(key, new Entry(key, put ? event.path("v") : null, stamp));
-                    }
-                  }
-                  done.accept(
-                      new Changes(body.path("epoch").asLong(), List.copyOf(latest.values()), false, true));
-                }));
+        "GET",
+        path,
+        null,
+        Constants.WATCH_CALL_MS,
+        reply -> {
+          if (!reply.ok()) {
+            done.accept(new Changes(since, List.of(), reply.status() == 410, false));
+            return;
+          }
+          JsonNode body = Json.read(reply.body());
+          Map<String, Entry> latest = new LinkedHashMap<>();
+          for (JsonNode event : body.path("log")) {
+            boolean put = event.has("put");
+            String key = event.path(put ? "put" : "remove").asText();
+            long stamp = event.path("stamp").asLong();
+            Entry known = latest.get(key);
+            if (known == null || known.revision() <= stamp) {
+              latest.put(key, new Entry(key, put ? event.path("v") : null, stamp));
+            }
+          }
+          done.accept(
+              new Changes(body.path("epoch").asLong(), List.copyOf(latest.values()), false, true));
+        });
   }
 }
