--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -390,6 +390,10 @@
       place(job, p);
       job.started = true;
     } else if (!mine) {
+      if (!share.holdValid()) {
+        // The team may have another owner by now, whose attempt this is.
+        return;
+      }
       log.error("{}/{} is on {} as attempt {} beside attempt {} on {}",
           job.spec.id(), task.task, view.machine, task.attempt, p.attempt, p.machine);
       ask(view, new StopTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt, 0));
--- a/src/test/java/org/sandford/scenario/Rules.java
+++ b/src/test/java/org/sandford/scenario/Rules.java
@@ -18,6 +18,9 @@
   /** Checked when a task starts on a machine. */
   void starts(WorkerStandIn on, WorkerStandIn.Held task) {
     started++;
+    if (task.job.beganAt < 0) {
+      task.job.beganAt = world.now();
+    }
     double cpus = task.job.cpus;
     int inZone = 1;
     for (CloudStandIn.Rented machine : scenario.cloud.machines.values()) {
--- a/src/test/java/org/sandford/scenario/StoreStandIn.java
+++ b/src/test/java/org/sandford/scenario/StoreStandIn.java
@@ -56,6 +56,10 @@
     }
   }
 
+  boolean inTrouble() {
+    return outage || !refused.isEmpty();
+  }
+
   boolean has(String key) {
     return items.containsKey(key);
   }
--- a/src/test/java/org/sandford/scenario/WorkerStandIn.java
+++ b/src/test/java/org/sandford/scenario/WorkerStandIn.java
@@ -166,6 +166,16 @@
           answered(response, sentAt, sentTenure);
         };
     world.after(4_000, () -> answered.accept(new Response(0, Json.object())));
+    if (world.lateReports && world.random.nextInt(4) == 0) {
+      long late = 1_000 + world.random.nextInt((int) (3_000 * scenario.leaseS));
+      String whereTo = "c" + world.random.nextInt(scenario.controllers);
+      world.after(late, () -> {
+        Server other = scenario.servers.get(whereTo);
+        if (other != null && !world.isDead(whereTo)) {
+          other.take(machine.name, "POST", "/hello", Json.bytes(body), ignored -> {});
+        }
+      });
+    }
     Server server = scenario.servers.get(to);
     if (server == null || world.isDead(to)) {
       world.after(1, () -> answered.accept(new Response(0, Json.object())));
--- /dev/null
+++ b/src/test/java/org/sandford/share/AssignmentMapTest.java
@@ -0,0 +1,53 @@
+package org.sandford.share;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.AssignmentMap.Machines;
+import org.sandford.share.AssignmentMap.Part;
+
+class AssignmentMapTest {
+  private static MachineOwner machine(int i) {
+    return new MachineOwner(
+        "worker-" + i % 5 + "#12", 1_000_000L + i, "10.1." + i / 250 + "." + i % 250 + ":9000", "kind-" + i % 3,
+        "zone-" + i % 2, i % 2 == 0);
+  }
+
+  private static Map<String, MachineOwner> machines(int from, int to) {
+    Map<String, MachineOwner> out = new TreeMap<>();
+    for (int i = from; i < to; i++) {
+      out.put(String.format("n-%06d", i), machine(i));
+    }
+    return out;
+  }
+
+  @Test
+  void aPartIsReadAsItWasWritten() {
+    Part part = new Part(7, machines(0, 100));
+    assertEquals(part, Part.read(Json.read(Json.bytes(part.json())), 7));
+  }
+
+  @Test
+  void aPartThatIsFullByCountStaysWithinTheValueLimit() {
+    for (int limit : new int[] {1024, 8 * 1024, 16 * 1024}) {
+      int most = (int) (limit * Constants.MAP_PART_FILL / Constants.MAP_ENTRY_BYTES);
+      int bytes = Json.bytes(new Part(1, machines(0, most)).json()).length;
+      assertTrue(bytes <= limit, most + " machines take " + bytes + " of " + limit + " bytes");
+    }
+  }
+
+  @Test
+  void anOlderPartOrHeadReplacesNothing() {
+    Machines known = Machines.NONE.with(9, 40, Map.of(0, new Part(9, machines(0, 3)), 1, new Part(8, machines(3, 6))));
+    Machines after = known.with(8, 30, Map.of(0, new Part(5, machines(0, 1)), 1, new Part(10, machines(3, 4))));
+    assertEquals(9, after.revision());
+    assertEquals(40, after.last());
+    assertEquals(machines(0, 4), after.of());
+  }
+}
