Records are not starved by the map; a job that waited long gathers room

The map's additions waited unseen by renting, which rented them again.

- A request of any size goes once a quarter of the bucket is there; what follows waits for the rest.
- Machines given back without tasks leave the map with ordinary writes, which go when the store has rate to spare; machines rented together share a part.
- Rented machines that are not in the map yet count as supply.
- Users are told to come back when records would wait 1.5 s, by the facts' rate and not a fixed number.

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -54,7 +54,10 @@
   public static final int MAP_PAUSE_MS = 250;
 
   /** Share of the store's changes that ordinary writes of the map may use; records need the rest. */
-  public static final double MAP_RATE_SHARE = 0.25;
+  public static final double MAP_RATE_SHARE = 0.4;
+
+  /** Milliseconds that an ordinary write of the map waits at the most for the store to have rate to spare. */
+  public static final int MAP_LATE_MS = 2_000;
 
   /** Bytes of one machine in its part of the map: name, generation, address and two places in tables. */
   public static final int MAP_ENTRY_BYTES = 56;
@@ -76,6 +79,9 @@
   /** Milliseconds before a request that the store refused (429, 503) is sent again. */
   public static final int STATE_RETRY_MS = 200;
 
+  /** Share of a full bucket that is enough for a request of any size to go. */
+  public static final double BUCKET_ENOUGH_SHARE = 0.25;
+
   /** Times a request is sent at the most that the store refuses for its rate: it was not carried out. */
   public static final int STATE_BUSY_TRIES = 5;
 
@@ -128,8 +134,8 @@
   /** Seconds in {@code Retry-After} under overload. */
   public static final int RETRY_OVERLOAD_S = 2;
 
-  /** Submissions waiting for the store beyond which a user is told to come back: a second's worth. */
-  public static final int SUBMISSIONS_WAITING = 40;
+  /** Seconds' worth of records waiting for the store beyond which a user is told to come back. */
+  public static final double SUBMISSIONS_WAITING_S = 1.5;
 
   /** Entries of the cache of final answers; each is small, and the store has the rest. */
   public static final int FINALS_CACHED = 20_000;
@@ -222,6 +228,12 @@
   /** Milliseconds a machine keeps room that was made for a job: stopping and the next plan fit in. */
   public static final int KEEP_ROOM_MS = 2_500;
 
+  /** Seconds after which a job that waits for room for all its tasks has free room kept for it. */
+  public static final double GATHER_AFTER_S = 40.0;
+
+  /** Milliseconds between two askings for that: less than room is kept. */
+  public static final int GATHER_MS = 1_800;
+
   /** Seconds a stopped task gets to save; one that never saves ends at once. */
   public static final int PREEMPT_GRACE_S = 10;
 
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -222,12 +222,17 @@
             now.forEach(
                 name -> {
                   removedAt.put(name, loop.millis());
-                  share.removeMachine(name);
+                  share.removeMachine(name, holdsTasks(name));
                 });
           }
         });
   }
 
+  private boolean holdsTasks(String name) {
+    Roster.Seen seen = roster.get(name);
+    return seen != null && seen.view().tasks.stream().anyMatch(t -> t.state != TaskState.EXITED);
+  }
+
   private void giveBackReleased() {
     List<String> names = new ArrayList<>();
     for (Roster.Seen seen : roster.all()) {
@@ -515,6 +520,11 @@
       }
       rooms.add(room);
     }
+    for (Share.NewMachine add : share.adding()) {
+      if (flavors.containsKey(add.kind())) {
+        rooms.add(room(add.name(), add.kind(), add.zone(), add.spot()));
+      }
+    }
     for (Hire hire : hires.values()) {
       for (int i = 0; i < hire.number; i++) {
         rooms.add(room(hire.name + "/" + i, hire.pool.kind, hire.pool.zone, hire.pool.spot));
@@ -530,7 +540,7 @@
 
   private static Need need(DemandClass d) {
     return new Need(
-        d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing,
+        "", d.rank, d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing,
         d.total, d.held, Set.of(), Set.of(), "");
   }
 
@@ -542,7 +552,7 @@
     rooms.forEach(room -> crowd.merge(room.zone, room.cpus, Double::sum));
     Map<Pool, Integer> wanted = new LinkedHashMap<>();
     wantedRooms.clear();
-    int machines = share.machines().of().size() + hires.values().stream().mapToInt(h -> h.number).sum();
+    int machines = share.machines().of().size() + share.adding().size() + hires.values().stream().mapToInt(h -> h.number).sum();
     int most = settings.operators().maxMachines() - machines;
     for (DemandClass d : demandNow(now)) {
       Need need = need(d);
@@ -568,7 +578,7 @@
     }
     if (wanted.isEmpty()) {
       // Ordinary machines, since the work that may wait least runs on no others.
-      Need any = new Need(1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
+      Need any = new Need("", 0, 1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
       while (free < Constants.HEADROOM_SHARE * total && most > 0) {
         Pool pool = cheapest(any, 4, crowd, now);
         if (pool == null) {
--- a/src/main/java/org/sandford/core/TokenBucket.java
+++ b/src/main/java/org/sandford/core/TokenBucket.java
@@ -1,5 +1,7 @@
 package org.sandford.core;
 
+import org.sandford.Constants;
+
 /** A rate with bursts of one second's worth, on the injected clock. */
 public final class TokenBucket {
   private final Loop loop;
@@ -25,10 +27,22 @@
     return Math.max(1, perSecond);
   }
 
-  /** Whether {@code count} may go now. More than a burst holds may go once the bucket is full. */
+  /**
+   * Whether {@code count} may go now. Many at once may go as soon as some of them might, and what
+   * follows waits for the rest: a large one that waited for a full bucket would be starved by small ones.
+   */
   public boolean allows(double count) {
+    return holds(enoughFor(count));
+  }
+
+  /** Whether so many are left. */
+  public boolean holds(double count) {
     fill();
-    return tokens >= Math.min(count, most());
+    return tokens >= count;
+  }
+
+  private double enoughFor(double count) {
+    return Math.min(count, Math.max(1, most() * Constants.BUCKET_ENOUGH_SHARE));
   }
 
   /** Takes them; the bucket may go below nothing, which delays what follows. */
@@ -40,7 +54,7 @@
   /** Milliseconds until {@code count} may go. */
   public long waitMillis(double count) {
     fill();
-    double missing = Math.min(count, most()) - tokens;
+    double missing = enoughFor(count) - tokens;
     return missing <= 0 ? 0 : (long) Math.ceil(missing * 1000 / perSecond);
   }
 }
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -254,6 +254,8 @@
       }
     }
     return new Need(
+        spec.id(),
+        spec.rank().ordinal(),
         spec.cpus(),
         spec.gpus(),
         spec.ram(),
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -80,6 +80,7 @@
   private long hopelessSince = -1;
   private long hopelessAt;
   private long stopAgainAt;
+  private long gatherAgainAt;
   private boolean planning;
   private long moveAgainAt;
   private long plannedAt;
@@ -521,7 +522,7 @@
       }
       return;
     }
-    if (writer.backlog() >= Constants.SUBMISSIONS_WAITING) {
+    if (overloaded()) {
       answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
       return;
     }
@@ -532,6 +533,12 @@
     storeNew(job);
   }
 
+  /** Whether a record would wait too long for the store. */
+  private boolean overloaded() {
+    double perSecond = settings.facts().stateWriteRps() * Constants.STATE_RATE_SHARE;
+    return writer.backlog() >= perSecond * Constants.SUBMISSIONS_WAITING_S;
+  }
+
   /** That the id was never used: neither by an open job nor by one that has ended. */
   private static Map<String, Long> absent(String id) {
     Map<String, Long> conditions = new LinkedHashMap<>();
@@ -664,7 +671,7 @@
    */
   public void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
     Answer later = Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
-    if (writer.backlog() >= Constants.SUBMISSIONS_WAITING) {
+    if (overloaded()) {
       answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
       return;
     }
@@ -1044,6 +1051,11 @@
         if (stoppable != null) {
           preempt(team, job, count, free, whole, stoppable);
         }
+        boolean waitedLong = (loop.nanos() - job.waitingSince) / 1e9 > Constants.GATHER_AFTER_S;
+        if (whole && count > 1 && waitedLong && plannedAt >= gatherAgainAt) {
+          gatherAgainAt = plannedAt + Constants.GATHER_MS;
+          gather(team, job, count, free);
+        }
       } else {
         carryOut(team, job, plan);
       }
@@ -1140,8 +1152,29 @@
       links.ask(
           room.owner,
           new Preempt(
-              team.name, room.machine, s.id(), s.rank().ordinal(), n * s.cpus(), n * s.gpus(), n * s.ram(),
-              stop, Constants.PREEMPT_GRACE_S));
+              team.name, room.machine, s.id(), s.rank().ordinal(), job.acceptedAt, n * s.cpus(), n * s.gpus(),
+              n * s.ram(), stop, Constants.PREEMPT_GRACE_S));
+    }
+  }
+
+  /**
+   * Has the room that is free kept for a job that waited long for enough of it at once: small jobs take
+   * each place as it falls free, and a large one would never begin. One job at a time, the first of the
+   * queue, which is at last the same for all controllers.
+   */
+  private void gather(Team team, Job job, int count, List<Room> free) {
+    Planner.Plan plan = planner.place(job.need(), count, free, false);
+    if (plan == null) {
+      return;
+    }
+    JobSpec s = job.spec;
+    for (Planner.Slot slot : plan.slots()) {
+      int n = slot.tasks();
+      links.ask(
+          slot.room().owner,
+          new Preempt(
+              team.name, slot.room().machine, s.id(), s.rank().ordinal(), job.acceptedAt, n * s.cpus(),
+              n * s.gpus(), n * s.ram(), List.of(), Constants.PREEMPT_GRACE_S));
     }
   }
 
--- a/src/main/java/org/sandford/job/RoomBook.java
+++ b/src/main/java/org/sandford/job/RoomBook.java
@@ -136,6 +136,11 @@
             view.machine, seen.owner(), view.kind, view.zone, view.spot,
             seen.owner().equals(self), flavor.cpus(), flavor.gpus(), flavor.ram());
     room.images = Set.copyOf(view.images);
+    room.keptFor = view.keptFor;
+    room.keptRank = view.keptRank;
+    room.keptCpus = view.keptCpus;
+    room.keptGpus = view.keptGpus;
+    room.keptRam = view.keptRam;
     Set<Attempt> told = new HashSet<>();
     for (TaskView t : view.tasks) {
       if (t.state == TaskState.EXITED) {
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -270,6 +270,7 @@
         return;
       }
       machine.keepRoom(ask, loop.nanos());
+      mark(machine);
       for (Victim victim : ask.victims) {
         log.info("{}/{} on {} makes room for {} of team {}", victim.job, victim.task, ask.machine, ask.forJob, ask.team);
         stop(ask.machine, new TaskKey(victim.job, victim.task), victim.attempt, ask.graceS);
@@ -650,6 +651,9 @@
       if (quiet) {
         sync(machine);
       }
+      if (machine.keepsNoLonger(now)) {
+        mark(machine);
+      }
       command(machine);
     }
     announced.values().removeIf(at -> now - at > 60_000_000_000L);
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -162,10 +163,34 @@
     return !place.seen() || leaseOver || (mine() && !superseded());
   }
 
-  /** Room was made for a job: without this, the task that was stopped could take it again. */
+  /**
+   * Keeps room for a job: what was made for it, which the task that was stopped could take again, or
+   * what it gathers until it has enough. Of two jobs the one goes first that both would let go first;
+   * otherwise each could hold for ever what the other lacks.
+   */
   void keepRoom(Preempt ask, long now) {
-    kept = ask;
-    keptUntil = now + Constants.KEEP_ROOM_MS * 1_000_000L;
+    boolean yields =
+        kept != null
+            && now <= keptUntil
+            && !ask.forJob.equals(kept.forJob)
+            && Comparator.comparingInt((Preempt p) -> p.rank)
+                    .thenComparingLong(p -> p.acceptedAt)
+                    .thenComparing(p -> p.forJob)
+                    .compare(ask, kept)
+                > 0;
+    if (!yields) {
+      kept = ask;
+      keptUntil = now + Constants.KEEP_ROOM_MS * 1_000_000L;
+    }
+  }
+
+  /** Ends the keeping of room once its time is over; true when it did. */
+  boolean keepsNoLonger(long now) {
+    boolean over = kept != null && now > keptUntil;
+    if (over) {
+      kept = null;
+    }
+    return over;
   }
 
   /** The CPUs, accelerators and memory that are kept from this start. */
@@ -386,6 +411,11 @@
         new ArrayList<>(images),
         faulty,
         settled(),
-        vacating);
+        vacating,
+        kept == null ? "" : kept.forJob,
+        kept == null ? 0 : kept.rank,
+        kept == null ? 0 : kept.cpus,
+        kept == null ? 0 : kept.gpus,
+        kept == null ? 0 : kept.ram);
   }
 }
--- a/src/main/java/org/sandford/placement/Need.java
+++ b/src/main/java/org/sandford/placement/Need.java
@@ -6,6 +6,8 @@
 /**
  * A class of like tasks of one job that look for places.
  *
+ * @param job the job, for which room may be kept
+ * @param rank its rank; the lower go first
  * @param kinds allowed kinds of machine; empty for any
  * @param zone the only allowed zone, or empty
  * @param total tasks of the whole job, from which the scatter limit follows
@@ -15,6 +17,8 @@
  * @param image the image that a machine must have before a task can run
  */
 public record Need(
+    String job,
+    int rank,
     double cpus,
     double gpus,
     double ram,
@@ -41,15 +45,16 @@
   /** How many of the tasks the machine's free room holds. */
   public int fitting(Room room) {
     double e = org.sandford.Constants.EPSILON;
+    boolean kept = room.keptFrom(job, rank);
     double most = Integer.MAX_VALUE;
     if (cpus > 0) {
-      most = Math.min(most, (room.freeCpus + e) / cpus);
+      most = Math.min(most, (room.freeCpus - (kept ? room.keptCpus : 0) + e) / cpus);
     }
     if (gpus > 0) {
-      most = Math.min(most, (room.freeGpus + e) / gpus);
+      most = Math.min(most, (room.freeGpus - (kept ? room.keptGpus : 0) + e) / gpus);
     }
     if (ram > 0) {
-      most = Math.min(most, (room.freeRam + e) / ram);
+      most = Math.min(most, (room.freeRam - (kept ? room.keptRam : 0) + e) / ram);
     }
     return (int) Math.max(0, Math.floor(most));
   }
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -43,7 +43,14 @@
     Map<Room, double[]> free = new LinkedHashMap<>();
     for (Room room : rooms) {
       if (need.allows(room)) {
-        free.put(room, new double[] {room.freeCpus, room.freeGpus, room.freeRam});
+        boolean kept = room.keptFrom(need.job(), need.rank());
+        free.put(
+            room,
+            new double[] {
+              room.freeCpus - (kept ? room.keptCpus : 0),
+              room.freeGpus - (kept ? room.keptGpus : 0),
+              room.freeRam - (kept ? room.keptRam : 0)
+            });
       }
     }
     // Only a machine that was chosen changes, so the others' offers are worked out once.
--- a/src/main/java/org/sandford/placement/Room.java
+++ b/src/main/java/org/sandford/placement/Room.java
@@ -15,6 +15,12 @@
   public final double ram;
   /** Images that the machine is known to have. */
   public Set<String> images = Set.of();
+  /** The job that some of the free room is kept for, or an empty text. */
+  public String keptFor = "";
+  public int keptRank;
+  public double keptCpus;
+  public double keptGpus;
+  public double keptRam;
   public double freeCpus;
   public double freeGpus;
   public double freeRam;
@@ -35,6 +41,11 @@
     this.freeRam = ram;
   }
 
+  /** Whether what is kept is kept from this job: from all others of the same rank or a lower one. */
+  public boolean keptFrom(String job, int rank) {
+    return !keptFor.isEmpty() && !keptFor.equals(job) && rank >= keptRank;
+  }
+
   public void take(double takenCpus, double takenGpus, double takenRam) {
     freeCpus -= takenCpus;
     freeGpus -= takenGpus;
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -114,6 +115,8 @@
   private long settledMachines;
   private final Map<String, NewMachine> adds = new LinkedHashMap<>();
   private final Set<String> removes = new TreeSet<>();
+  /** Removals for which tasks wait. */
+  private final Set<String> awaited = new HashSet<>();
   private final Map<String, String> moves = new LinkedHashMap<>();
   private final Map<String, Long> yielded = new TreeMap<>();
   private long hires;
@@ -597,16 +600,27 @@
     }
   }
 
-  /** The machine was returned and that was answered, or it was seen to have stopped on its own. */
-  public void removeMachine(String name) {
+  /**
+   * The machine was returned and that was answered, or it was seen to have stopped on its own. Tasks
+   * that were on it start elsewhere once it has left the map, so with {@code heldTasks} it leaves at once.
+   */
+  public void removeMachine(String name, boolean heldTasks) {
     adds.remove(name);
     moves.remove(name);
     if (machines.of().containsKey(name)) {
       removes.add(name);
+      if (heldTasks) {
+        awaited.add(name);
+      }
       leadSoon();
     }
   }
 
+  /** Machines that are rented and not in the map yet. */
+  public Collection<NewMachine> adding() {
+    return adds.values().stream().filter(add -> !machines.of().containsKey(add.name())).toList();
+  }
+
   public void moveMachine(String name, String toId) {
     moves.put(name, toId);
     leadSoon();
@@ -693,13 +707,16 @@
     Set<String> live = new HashSet<>(members.values());
     boolean hurried =
         nextTeams != teams
-            || !removes.isEmpty()
+            || !awaited.isEmpty()
             || machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()));
-    if (!hurried && loop.millis() < mapAgainAt) {
+    // The users' records go first: what nobody waits for is written when the store has rate to spare.
+    long late = loop.millis() - mapAgainAt;
+    boolean ordinary = late >= 0 && (state.hasSpare() || late >= Constants.MAP_LATE_MS);
+    if (!hurried && !ordinary) {
       return;
     }
     Map<Integer, Part> changed = new TreeMap<>();
-    long last = planMachines(live, changed);
+    long last = planMachines(live, ordinary, changed);
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(LEADER, leaderRevision);
     List<Op> ops = new ArrayList<>();
@@ -785,6 +802,7 @@
               return now != null && (now.seen() || add.address().isEmpty());
             });
     removes.removeIf(name -> !machines.of().containsKey(name));
+    awaited.retainAll(removes);
     moves.entrySet()
         .removeIf(
             move -> {
@@ -844,21 +862,22 @@
   /**
    * Puts what changes of the machines' parts into {@code changed}, each with the revision that it
    * follows, and returns the last generation given. One transaction holds only so much; what does not
-   * fit is found anew after it.
+   * fit is found anew after it. Without {@code ordinary} only what is waited for is changed: machines
+   * without an owner, and those that left with tasks.
    */
-  private long planMachines(Set<String> live, Map<Integer, Part> changed) {
+  private long planMachines(Set<String> live, boolean ordinary, Map<Integer, Part> changed) {
     Map<Integer, Map<String, MachineOwner>> next = new TreeMap<>();
     Map<Integer, Integer> sizes = new TreeMap<>();
     machines.parts().forEach((number, part) -> sizes.put(number, part.of().size()));
     Map<String, Integer> placeOf = new HashMap<>();
     machines.parts().forEach((number, part) -> part.of().keySet().forEach(name -> placeOf.put(name, number)));
-    for (String name : removes) {
+    for (String name : ordinary ? removes : awaited) {
       Integer number = placeOf.get(name);
       if (number != null) {
         draft(next, number).remove(name);
       }
     }
-    for (NewMachine add : adds.values()) {
+    for (NewMachine add : ordinary ? adds.values() : List.<NewMachine>of()) {
       MachineOwner known = machines.of().get(add.name());
       if (known == null) {
         MachineOwner fresh = new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot());
@@ -883,7 +902,7 @@
       Map<String, MachineOwner> after = new TreeMap<>(before);
       for (Map.Entry<String, MachineOwner> e : before.entrySet()) {
         MachineOwner m = e.getValue();
-        String wish = moves.get(e.getKey());
+        String wish = ordinary ? moves.get(e.getKey()) : null;
         boolean wished = wish != null && live.contains(wish);
         if (live.contains(m.owner()) && (!wished || wish.equals(m.owner()))) {
           continue;
@@ -924,14 +943,24 @@
     return next.computeIfAbsent(number, n -> new TreeMap<>(partOf(n)));
   }
 
-  /** The first part that can take one more machine: few and full parts make few writes. */
+  /**
+   * The part with the most room, or a new one when none has any: machines that are rented together
+   * come up and go back together, and so touch few parts.
+   */
   private int roomiest(Map<Integer, Integer> sizes) {
-    int number = 0;
     double most = settings.facts().stateValueBytes() * Constants.MAP_PART_FILL / Constants.MAP_ENTRY_BYTES;
-    while (sizes.getOrDefault(number, 0) + 1 > most) {
-      number++;
+    int best = 0;
+    while (sizes.containsKey(best)) {
+      best++;
     }
-    return number;
+    int least = Integer.MAX_VALUE;
+    for (Map.Entry<Integer, Integer> e : sizes.entrySet()) {
+      if (e.getValue() + 1 <= most && e.getValue() < least) {
+        best = e.getKey();
+        least = e.getValue();
+      }
+    }
+    return best;
   }
 
   /** Each share has every zone where possible: fewest machines in the zone, then fewest at all. */
--- a/src/main/java/org/sandford/state/RecordWriter.java
+++ b/src/main/java/org/sandford/state/RecordWriter.java
@@ -41,6 +41,7 @@
   private boolean storingProgress;
   private final Loop loop;
   private int inFlight;
+  private int underWay;
   private boolean flushing;
 
   public RecordWriter(Loop loop, StateClient state, int maxOps) {
@@ -52,8 +53,12 @@
     }
   }
 
-  /** Writes that somebody waits for and that have not gone out. */
+  /** Writes that somebody waits for and that are not answered yet. */
   public int backlog() {
+    return unsent() + underWay;
+  }
+
+  private int unsent() {
     return waiting.get(Kind.END).size() + waiting.get(Kind.NEW).size();
   }
 
@@ -79,13 +84,21 @@
   }
 
   private void flush() {
-    while (inFlight < Constants.TXNS_IN_FLIGHT && backlog() > 0) {
+    while (inFlight < Constants.TXNS_IN_FLIGHT && unsent() > 0) {
       List<Write> batch = new ArrayList<>();
       boolean hurried = !waiting.get(Kind.END).isEmpty();
       int bytes = gather(waiting.get(Kind.END), batch, 0);
       gather(waiting.get(Kind.NEW), batch, bytes);
+      int writes = batch.size();
       inFlight++;
-      send(batch, hurried ? Priority.MAP : Priority.RECORD, () -> inFlight--);
+      underWay += writes;
+      send(
+          batch,
+          hurried ? Priority.MAP : Priority.RECORD,
+          () -> {
+            inFlight--;
+            underWay -= writes;
+          });
     }
     if (storingProgress || waiting.get(Kind.PROGRESS).isEmpty()) {
       return;
--- a/src/main/java/org/sandford/state/StateClient.java
+++ b/src/main/java/org/sandford/state/StateClient.java
@@ -234,7 +234,7 @@
 
   /** Whether the store's rate of changes is far from used up, so that writes may go that can wait. */
   public boolean hasSpare() {
-    return writes.allows(writes.most() * Constants.STATE_SPARE_SHARE);
+    return writes.holds(writes.most() * Constants.STATE_SPARE_SHARE);
   }
 
   /** One transaction; it is carried out once at the most. */
--- /dev/null
+++ b/src/test/java/org/sandford/core/TokenBucketTest.java
@@ -0,0 +1,70 @@
+package org.sandford.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class TokenBucketTest {
+  private static final class Clock implements Loop {
+    private long millis;
+
+    @Override
+    public long nanos() {
+      return millis * 1_000_000;
+    }
+
+    @Override
+    public long wallMillis() {
+      return millis;
+    }
+
+    @Override
+    public Timer after(long after, Runnable what) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public void execute(Runnable what) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  @Test
+  void smallOnesDoNotStarveALargeOne() {
+    Clock clock = new Clock();
+    TokenBucket bucket = new TokenBucket(clock, 12);
+    bucket.take(12);
+    boolean went = false;
+    for (int i = 0; i < 50 && !went; i++) {
+      clock.millis += 100;
+      if (bucket.allows(2)) {
+        bucket.take(2);
+      }
+      clock.millis += 150;
+      went = bucket.allows(16);
+    }
+    assertTrue(went, "sixteen at once never went beside two every quarter of a second");
+  }
+
+  @Test
+  void theRateHoldsOverTime() {
+    Clock clock = new Clock();
+    TokenBucket bucket = new TokenBucket(clock, 10);
+    int gone = 0;
+    for (int i = 0; i < 10_000; i++) {
+      clock.millis++;
+      if (bucket.allows(16)) {
+        bucket.take(16);
+        gone += 16;
+      }
+    }
+    assertTrue(gone <= 10 + 10 * 10 + 16, gone + " in ten seconds at ten a second");
+    bucket.take(100);
+    assertFalse(bucket.allows(1));
+    clock.millis += bucket.waitMillis(1);
+    assertTrue(bucket.allows(1));
+    assertEquals(0, bucket.waitMillis(1));
+  }
+}
--- a/src/test/java/org/sandford/placement/PreemptionTest.java
+++ b/src/test/java/org/sandford/placement/PreemptionTest.java
@@ -11,7 +11,7 @@
 
 class PreemptionTest {
   private static final Need NEED =
-      new Need(4, 0, 1, Set.of(), "", false, false, false, false, 2, Map.of(), Set.of(), Set.of(), "");
+      new Need("wk-9", 1, 4, 0, 1, Set.of(), "", false, false, false, false, 2, Map.of(), Set.of(), Set.of(), "");
 
   private static Room full(String name) {
     Room room = new Room(name, "c0", "m", "a", false, true, 8, 0, 64);
