--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -207,6 +207,12 @@
   /** Jobs that may look for others to stop in one planning round: each look goes through the fleet. */
   public static final int PREEMPT_SEARCHES = 4;
 
+  /** Milliseconds between two looks at jobs that were stored for a team's owner and not taken up yet. */
+  public static final int ADDED_LOOK_MS = 1_000;
+
+  /** Milliseconds between two checks that no open job of a team is unknown to its owner. */
+  public static final int AUDIT_MS = 40_000;
+
   /** Milliseconds between planning rounds when nothing happens. */
   public static final int PLAN_IDLE_MS = 500;
 
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -111,6 +111,8 @@
 
   public void start() {
     loop.every(Constants.PLAN_IDLE_MS, this::planSoon);
+    loop.every(Constants.ADDED_LOOK_MS, () -> Map.copyOf(share.added()).forEach(this::takeAdded));
+    loop.every(Constants.AUDIT_MS, this::audit);
   }
 
   public int openJobs() {
@@ -711,7 +713,12 @@
     if (team == null || !team.speaks()) {
       return;
     }
-    if (jobs.containsKey(id) || finals.contains(id)) {
+    Job known = jobs.get(id);
+    if (known != null && known.phase() == Job.Phase.STORING) {
+      // Our own write may yet fail, and then the job is forgotten here: it is looked at again.
+      return;
+    }
+    if (known != null || finals.contains(id)) {
       clearAdded(id);
       return;
     }
@@ -727,11 +734,29 @@
               clearAdded(id);
             }
             case FINAL -> clearAdded(id);
-            default -> loop.after(Constants.STATE_RETRY_MS, () -> takeAdded(id, teamName));
+            default -> log.debug("{} cannot be read just now", id);
           }
         });
   }
 
+  /** Every open job in the store of a team of ours is known here; one that is not is taken up. */
+  private void audit() {
+    if (!share.holdValid() || teams.isEmpty()) {
+      return;
+    }
+    store.openJobs(
+        open ->
+            open.forEach(
+                (id, entry) -> {
+                  String team = JobStore.spec(id, entry.value()).team();
+                  if (teams.containsKey(team) && !jobs.containsKey(id) && !finals.contains(id)) {
+                    log.info("{} of team {} was not known here", id, team);
+                    // The listing may be older than the job's end, so it is read once more.
+                    takeAdded(id, team);
+                  }
+                }));
+  }
+
   private void clearAdded(String id) {
     writer.write(
         new RecordWriter.Write(Map.of(), List.of(Op.remove(Share.addedKey(id))), RecordWriter.Kind.PROGRESS, result -> {}));
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -196,6 +196,8 @@
       case "late_reports" -> world.lateReports = w.get(1).equals("on");
       case "heal" -> world.heal(host(w.get(1)), host(w.get(2)));
       case "refuse" -> store.refused.add(w.get(1));
+      case "busy" -> store.busy.add(w.get(1));
+      case "idle" -> store.busy.remove(w.get(1));
       case "admit" -> store.refused.remove(w.get(1));
       case "outage" -> {
         if (w.get(1).equals("store")) {
--- a/src/test/java/org/sandford/scenario/StoreStandIn.java
+++ b/src/test/java/org/sandford/scenario/StoreStandIn.java
@@ -34,6 +34,8 @@
   private final List<Change> log = new ArrayList<>();
   private final List<Watcher> watchers = new ArrayList<>();
   final Set<String> refused = new HashSet<>();
+  /** Hosts whose changes are too many, as far as the store is concerned. */
+  final Set<String> busy = new HashSet<>();
   private boolean outage;
   private long epoch;
   private long lastHold;
@@ -104,7 +106,7 @@
     if (watch) {
       follow(from, query(path), respond);
     } else if (path.equals("/txn")) {
-      respond.accept(txn(Json.read(body)));
+      respond.accept(busy.contains(from) ? new Response(429, Json.object()) : txn(Json.read(body)));
     } else if (path.equals("/holds")) {
       Hold hold = new Hold();
       hold.ttlMs = Json.read(body).path("ttl_ms").asLong();
