Tried: headroom by the square root of the fleet; not kept

Room that stands by is what guaranteed work starts on there; the price did not fall for it. That idle ordinary machines are given back and rented again remains to be tried alone.

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -331,12 +331,6 @@
   /** Share of the fleet's processors kept free for work that may not wait. */
   public static final double HEADROOM_SHARE = 0.08;
 
-  /**
-   * Processors of a fleet up to which the headroom is a fixed share; beyond, it grows with the square
-   * root, as the swings of many independent jobs do.
-   */
-  public static final double HEADROOM_CPUS = 400;
-
   /** Seconds after a removal in which an older list may still show the machine. */
   public static final double REMOVED_REMEMBERED_S = 120.0;
 
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -308,7 +308,6 @@
   private void returnIdle(long now) {
     double total = 0;
     double free = 0;
-    double freeOrdinary = 0;
     Map<String, Integer> ordinaryInZone = new HashMap<>();
     List<Roster.Seen> idle = new ArrayList<>();
     idleSince.keySet().removeIf(name -> roster.get(name) == null);
@@ -326,14 +325,13 @@
       free += flavor.cpus() - used;
       if (!view.spot) {
         ordinaryInZone.merge(view.zone, 1, Integer::sum);
-        freeOrdinary += flavor.cpus() - used;
       }
       boolean empty = view.tasks.stream().allMatch(t -> t.state == TaskState.EXITED);
       if (empty && (view.vacating || idleFor(view, now) > settings.operators().idleReturnS())) {
         idle.add(seen);
       }
     }
-    double keep = headroom(total);
+    double keep = Constants.HEADROOM_SHARE * total;
     idle.sort(
         Comparator.comparingDouble(
             (Roster.Seen s) -> -price(flavors.get(s.view().kind), s.view().spot) / flavors.get(s.view().kind).cpus()));
@@ -341,13 +339,10 @@
       MachineView view = seen.view();
       double cpus = flavors.get(view.kind).cpus();
       boolean last = !view.spot && ordinaryInZone.getOrDefault(view.zone, 0) <= 1;
-      // An ordinary machine that would be rented again for the headroom is kept.
-      boolean headroom = free - cpus < keep || (!view.spot && freeOrdinary - cpus < keep);
-      if (last || headroom || wantedRooms.contains(view.machine)) {
+      if (last || free - cpus < keep || wantedRooms.contains(view.machine)) {
         continue;
       }
       free -= cpus;
-      freeOrdinary -= view.spot ? 0 : cpus;
       if (!view.spot) {
         ordinaryInZone.merge(view.zone, -1, Integer::sum);
       }
@@ -355,11 +350,6 @@
     }
   }
 
-  /** Processors kept free in a fleet of so many. */
-  static double headroom(double total) {
-    return Constants.HEADROOM_SHARE * Math.min(total, Math.sqrt(total * Constants.HEADROOM_CPUS));
-  }
-
   private final Map<String, Long> idleSince = new HashMap<>();
 
   /** Machines on which what waits now could be placed; they are not returned. */
@@ -472,7 +462,7 @@
         return false;
       }
     }
-    return freeCpus >= headroom(total - rooms.get(view.machine).cpus);
+    return freeCpus >= Constants.HEADROOM_SHARE * (total - rooms.get(view.machine).cpus);
   }
 
   /** Machines that are being emptied serve again; sooner and cheaper than new ones. */
@@ -589,7 +579,7 @@
     if (wanted.isEmpty()) {
       // Ordinary machines, since the work that may wait least runs on no others.
       Need any = new Need("", 0, 1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
-      while (free < headroom(total) && most > 0) {
+      while (free < Constants.HEADROOM_SHARE * total && most > 0) {
         Pool pool = cheapest(any, 4, crowd, now);
         if (pool == null) {
           break;
