One way to ask for room; the map's parts are taken together and planned only when something changes

- Preempting and gathering built the same message; both call askForRoom.
- A change of several parts of the map put all machines together anew for each part; now once.
- The leader drafted the machines' parts on every look, also when nothing was added, removed, moved or orphaned.
- The live owners come from liveIds, which was there.

--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -1174,14 +1174,20 @@
       }
       int n = eviction.tasks();
       room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
-      links.ask(
-          room.owner,
-          new Preempt(
-              team.name, room.machine, s.id(), s.rank().ordinal(), job.acceptedAt, n * s.cpus(), n * s.gpus(),
-              n * s.ram(), stop, Constants.PREEMPT_GRACE_S));
+      askForRoom(team, job, room, n, stop);
     }
   }
 
+  /** Asks the machine's owner to keep room for so many tasks of the job, after stopping others where need be. */
+  private void askForRoom(Team team, Job job, Room room, int tasks, List<Victim> stop) {
+    JobSpec s = job.spec;
+    links.ask(
+        room.owner,
+        new Preempt(
+            team.name, room.machine, s.id(), s.rank().ordinal(), job.acceptedAt, tasks * s.cpus(),
+            tasks * s.gpus(), tasks * s.ram(), stop, Constants.PREEMPT_GRACE_S));
+  }
+
   /**
    * Has the room that is free kept for a job that waited long for enough of it at once: small jobs take
    * each place as it falls free, and a large one would never begin. One job at a time, the first of the
@@ -1189,17 +1195,8 @@
    */
   private void gather(Team team, Job job, int count, List<Room> free) {
     Planner.Plan plan = planner.place(job.need(), count, free, false);
-    if (plan == null) {
-      return;
-    }
-    JobSpec s = job.spec;
-    for (Planner.Slot slot : plan.slots()) {
-      int n = slot.tasks();
-      links.ask(
-          slot.room().owner,
-          new Preempt(
-              team.name, slot.room().machine, s.id(), s.rank().ordinal(), job.acceptedAt, n * s.cpus(),
-              n * s.gpus(), n * s.ram(), List.of(), Constants.PREEMPT_GRACE_S));
+    if (plan != null) {
+      plan.slots().forEach(slot -> askForRoom(team, job, slot.room(), slot.tasks(), List.of()));
     }
   }
 
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -369,7 +369,7 @@
           added.clear();
           leader = "";
           leaderRevision = 0;
-          entries.forEach(this::absorb);
+          absorb(entries);
           watchSince = epoch;
           listener.mapChanged();
           elect();
@@ -392,7 +392,7 @@
           }
           watchSince = Math.max(watchSince, changes.epoch());
           if (!changes.entries().isEmpty()) {
-            changes.entries().forEach(this::absorb);
+            absorb(changes.entries());
             listener.mapChanged();
             elect();
             lead();
@@ -443,6 +443,26 @@
         });
   }
 
+  /** Takes in what the store holds; the machines at once, since each part taken puts all of them together anew. */
+  private void absorb(List<Entry> entries) {
+    long headRevision = 0;
+    long last = 0;
+    Map<Integer, Part> parts = new TreeMap<>();
+    for (Entry entry : entries) {
+      String key = entry.key();
+      if (entry.value() != null && key.equals(MACHINES)) {
+        headRevision = entry.revision();
+        last = entry.value().path("n").asLong();
+      } else if (entry.value() != null && key.startsWith(PART)) {
+        int number = Integer.parseInt(key.substring(PART.length()));
+        parts.put(number, Part.read(entry.value(), entry.revision()));
+      } else {
+        absorb(entry);
+      }
+    }
+    takeMachines(headRevision, last, parts);
+  }
+
   private void absorb(Entry entry) {
     String key = entry.key();
     if (key.startsWith(MEMBER)) {
@@ -482,11 +502,6 @@
       }
     } else if (key.equals(TEAMS) && entry.value() != null) {
       takeTeams(Teams.read(entry.value(), entry.revision()));
-    } else if (key.equals(MACHINES) && entry.value() != null) {
-      takeMachines(entry.revision(), entry.value().path("n").asLong(), Map.of());
-    } else if (key.startsWith(PART) && entry.value() != null) {
-      int number = Integer.parseInt(key.substring(PART.length()));
-      takeMachines(0, 0, Map.of(number, Part.read(entry.value(), entry.revision())));
     }
   }
 
@@ -704,11 +719,9 @@
     }
     levelShares();
     Teams nextTeams = planTeams();
-    Set<String> live = new HashSet<>(members.values());
-    boolean hurried =
-        nextTeams != teams
-            || !awaited.isEmpty()
-            || machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()));
+    Set<String> live = liveIds();
+    boolean orphaned = machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()));
+    boolean hurried = nextTeams != teams || !awaited.isEmpty() || orphaned;
     // The users' records go first: what nobody waits for is written when the store has rate to spare.
     long late = loop.millis() - mapAgainAt;
     boolean ordinary = late >= 0 && (state.hasSpare() || late >= Constants.MAP_LATE_MS);
@@ -716,7 +729,8 @@
       return;
     }
     Map<Integer, Part> changed = new TreeMap<>();
-    long last = planMachines(live, ordinary, changed);
+    boolean wishes = !adds.isEmpty() || !removes.isEmpty() || !moves.isEmpty();
+    long last = orphaned || wishes ? planMachines(live, ordinary, changed) : machines.last();
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(LEADER, leaderRevision);
     List<Op> ops = new ArrayList<>();
@@ -823,7 +837,7 @@
                 (entries, epoch) -> {
                   writing = false;
                   if (entries != null) {
-                    entries.forEach(this::absorb);
+                    absorb(entries);
                     settleWishes();
                     listener.mapChanged();
                   }
