--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -15,6 +15,12 @@
   /** Seconds added to bounds that end in a kill: timers go off late when the processor is short. */
   public static final double KILL_MARGIN_S = 1.5;
 
+  /** Milliseconds for which events gather while many come: far below what users and workers wait for. */
+  public static final int PACE_MS = 10;
+
+  /** Times that pace between two rounds of events above which events count as few. */
+  public static final int PACE_BELOW = 2;
+
   // --- share: hold, leadership, map ---------------------------------------------------------------
 
   /** Milliseconds a hold lasts: short enough to notice a lost controller, long enough for a slow store. */
@@ -200,7 +206,7 @@
   public static final int IMAGES_REMEMBERED = 24;
 
   /** Milliseconds between two publications of changed views: changes within are sent together. */
-  public static final int PUBLISH_MS = 20;
+  public static final int PUBLISH_MS = 60;
 
   // --- jobs ------------------------------------------------------------------------------------------------
 
@@ -211,7 +217,7 @@
   public static final int PROGRESS_MS = 8_000;
 
   /** Milliseconds between two planning rounds at the least: what arrives within is planned together. */
-  public static final int PLAN_MS = 20;
+  public static final int PLAN_MS = 40;
 
   /** Share of the time that planning rounds may take; reports and users need the rest of the processor. */
   public static final double PLAN_TIME_SHARE = 0.1;
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -540,7 +540,7 @@
 
   private static Need need(DemandClass d) {
     return new Need(
-        "", d.rank, d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing,
+        "", d.rank, 0, d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing,
         d.total, d.held, Set.of(), Set.of(), "");
   }
 
@@ -578,7 +578,7 @@
     }
     if (wanted.isEmpty()) {
       // Ordinary machines, since the work that may wait least runs on no others.
-      Need any = new Need("", 0, 1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
+      Need any = new Need("", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
       while (free < Constants.HEADROOM_SHARE * total && most > 0) {
         Pool pool = cheapest(any, 4, crowd, now);
         if (pool == null) {
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -256,6 +256,7 @@
     return new Need(
         spec.id(),
         spec.rank().ordinal(),
+        acceptedAt,
         spec.cpus(),
         spec.gpus(),
         spec.ram(),
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -1066,11 +1066,12 @@
     List<Job> queue = new ArrayList<>();
     long now = loop.millis();
     for (Job job : jobs.values()) {
+      if (!job.runnable() || job.notBefore > now) {
+        continue;
+      }
       Team team = teams.get(job.spec.team());
       if (team != null
           && team.speaks()
-          && job.runnable()
-          && job.notBefore <= now
           && (team.phase() == Team.Phase.READY || !job.inherited)) {
         queue.add(job);
       }
@@ -1348,7 +1349,7 @@
                 owner,
                 new StartTask(
                     team.name, team.generation, p.machine, p.machineGeneration, s.id(), task, p.attempt,
-                    s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), s.image()));
+                    s.rank().ordinal(), job.acceptedAt, s.cpus(), s.gpus(), s.ram(), s.image()));
         if (!sent) {
           unplace(job, p);
         }
--- a/src/main/java/org/sandford/job/RoomBook.java
+++ b/src/main/java/org/sandford/job/RoomBook.java
@@ -136,11 +136,12 @@
             view.machine, seen.owner(), view.kind, view.zone, view.spot,
             seen.owner().equals(self), flavor.cpus(), flavor.gpus(), flavor.ram());
     room.images = Set.copyOf(view.images);
-    room.keptFor = view.keptFor;
-    room.keptRank = view.keptRank;
-    room.keptCpus = view.keptCpus;
-    room.keptGpus = view.keptGpus;
-    room.keptRam = view.keptRam;
+    if (!view.kept.isEmpty()) {
+      room.kept =
+          view.kept.stream()
+              .map(k -> new Room.Kept(k.forJob, k.rank, k.acceptedAt, k.cpus, k.gpus, k.ram))
+              .toList();
+    }
     Set<Placed> placed = placedAt.getOrDefault(view.machine, Set.of());
     Set<Attempt> told = placed.isEmpty() ? Set.of() : new HashSet<>();
     for (TaskView t : view.tasks) {
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -14,12 +13,14 @@
 import org.sandford.Constants;
 import org.sandford.core.Json;
 import org.sandford.peer.wire.ExitCause;
+import org.sandford.peer.wire.Kept;
 import org.sandford.peer.wire.MachineState;
 import org.sandford.peer.wire.MachineView;
 import org.sandford.peer.wire.Preempt;
 import org.sandford.peer.wire.StartTask;
 import org.sandford.peer.wire.TaskState;
 import org.sandford.peer.wire.TaskView;
+import org.sandford.placement.Need;
 import org.sandford.share.AssignmentMap.MachineOwner;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -78,6 +79,8 @@
     }
   }
 
+  private record Keep(Kept room, long until) {}
+
   final String name;
   final MachineOwner place;
   final long assignedAt;
@@ -103,8 +106,8 @@
   final Map<Key, Entry> entries = new LinkedHashMap<>();
   final Set<String> images = new LinkedHashSet<>();
   private int imageChanges;
-  private Preempt kept;
-  private long keptUntil;
+  /** What is kept for each job, and until when. */
+  private final Map<String, Keep> keeps = new LinkedHashMap<>();
   private final Set<String> failedJobs = new HashSet<>();
 
   Machine(String name, MachineOwner place, long now) {
@@ -196,40 +199,31 @@
 
   /**
    * Keeps room for a job: what was made for it, which the task that was stopped could take again, or
-   * what it gathers until it has enough. Of two jobs the one goes first that both would let go first;
-   * otherwise each could hold for ever what the other lacks.
+   * what it gathers until it has enough. Each job has its own: with one for all, the next job that made
+   * room here set the last one's free, whose victims came back and were stopped again.
    */
   void keepRoom(Preempt ask, long now) {
-    boolean yields =
-        kept != null
-            && now <= keptUntil
-            && !ask.forJob.equals(kept.forJob)
-            && Comparator.comparingInt((Preempt p) -> p.rank)
-                    .thenComparingLong(p -> p.acceptedAt)
-                    .thenComparing(p -> p.forJob)
-                    .compare(ask, kept)
-                > 0;
-    if (!yields) {
-      kept = ask;
-      keptUntil = now + Constants.KEEP_ROOM_MS * 1_000_000L;
-    }
+    Kept room = new Kept(ask.forJob, ask.rank, ask.acceptedAt, ask.cpus, ask.gpus, ask.ram);
+    keeps.put(ask.forJob, new Keep(room, now + Constants.KEEP_ROOM_MS * 1_000_000L));
   }
 
-  /** Ends the keeping of room once its time is over; true when it did. */
+  /** Ends the keeping of room whose time is over; true when there was any. */
   boolean keepsNoLonger(long now) {
-    boolean over = kept != null && now > keptUntil;
-    if (over) {
-      kept = null;
-    }
-    return over;
+    return keeps.values().removeIf(keep -> now > keep.until);
   }
 
   /** The CPUs, accelerators and memory that are kept from this start. */
   double[] keptFrom(StartTask ask, long now) {
-    if (kept == null || now > keptUntil || ask.job.equals(kept.forJob) || ask.rank < kept.rank) {
-      return new double[3];
+    double[] sum = new double[3];
+    for (Keep keep : keeps.values()) {
+      Kept room = keep.room;
+      if (now <= keep.until && Need.goesAfter(ask.rank, ask.acceptedAt, ask.job, room.rank, room.acceptedAt, room.forJob)) {
+        sum[0] += room.cpus;
+        sum[1] += room.gpus;
+        sum[2] += room.ram;
+      }
     }
-    return new double[] {kept.cpus, kept.gpus, kept.ram};
+    return sum;
   }
 
   /** Accepts a start; it goes out with the next commands. */
@@ -244,10 +238,11 @@
     entry.ram = ask.ram;
     entry.image = ask.image;
     entries.put(entry.key, entry);
-    if (kept != null && kept.forJob.equals(ask.job)) {
-      kept.cpus = Math.max(0, kept.cpus - ask.cpus);
-      kept.gpus = Math.max(0, kept.gpus - ask.gpus);
-      kept.ram = Math.max(0, kept.ram - ask.ram);
+    Keep keep = keeps.get(ask.job);
+    if (keep != null) {
+      keep.room.cpus = Math.max(0, keep.room.cpus - ask.cpus);
+      keep.room.gpus = Math.max(0, keep.room.gpus - ask.gpus);
+      keep.room.ram = Math.max(0, keep.room.ram - ask.ram);
     }
   }
 
@@ -461,10 +456,6 @@
         faulty,
         settled(),
         vacating,
-        kept == null ? "" : kept.forJob,
-        kept == null ? 0 : kept.rank,
-        kept == null ? 0 : kept.cpus,
-        kept == null ? 0 : kept.gpus,
-        kept == null ? 0 : kept.ram);
+        new ArrayList<>(keeps.values().stream().map(Keep::room).toList()));
   }
 }
--- a/src/main/java/org/sandford/net/NettyLoop.java
+++ b/src/main/java/org/sandford/net/NettyLoop.java
@@ -1,10 +1,14 @@
 package org.sandford.net;
 
 import io.netty.channel.EventLoop;
+import io.netty.channel.SelectStrategy;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.IntSupplier;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.nio.channels.spi.SelectorProvider;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.sandford.Constants;
 import org.sandford.core.Loop;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,7 +17,8 @@
 public final class NettyLoop implements Loop {
   private static final Logger log = LoggerFactory.getLogger(NettyLoop.class);
   private final NioEventLoopGroup group =
-      new NioEventLoopGroup(1, new DefaultThreadFactory("sandford", false));
+      new NioEventLoopGroup(
+          1, new DefaultThreadFactory("sandford", false), SelectorProvider.provider(), Pace::new);
   private final EventLoop loop = group.next();
 
   NioEventLoopGroup group() {
@@ -49,6 +54,31 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
+  /**
+   * Lets events gather for a moment while many come: each time the process is woken costs far more than
+   * one event more in the same go, and a large fleet's reports come one by one. While few come, each is
+   * taken at once.
+   */
+  private static final class Pace implements SelectStrategy {
+    private long rested = System.nanoTime();
+
+    @Override
+    public int calculateStrategy(IntSupplier selectNow, boolean hasTasks) throws Exception {
+      if (hasTasks) {
+        return selectNow.get();
+      }
+      long busyFor = System.nanoTime() - rested;
+      if (busyFor < Constants.PACE_MS * Constants.PACE_BELOW * 1_000_000L) {
+        Thread.sleep(Constants.PACE_MS);
+        int ready = selectNow.get();
+        rested = System.nanoTime();
+        return ready > 0 ? ready : SelectStrategy.SELECT;
+      }
+      rested = System.nanoTime();
+      return SelectStrategy.SELECT;
+    }
+  }
+
   /** A fault in one event is logged and must not end the loop, nor the timer that repeats itself. */
   private static Runnable guarded(Runnable what) {
     return () -> {
--- a/src/main/java/org/sandford/placement/Need.java
+++ b/src/main/java/org/sandford/placement/Need.java
@@ -8,6 +8,7 @@
  *
  * @param job the job, for which room may be kept
  * @param rank its rank; the lower go first
+ * @param acceptedAt when it was accepted; of one rank, the earlier go first
  * @param kinds allowed kinds of machine; empty for any
  * @param zone the only allowed zone, or empty
  * @param total tasks of the whole job, from which the scatter limit follows
@@ -19,6 +20,7 @@
 public record Need(
     String job,
     int rank,
+    long acceptedAt,
     double cpus,
     double gpus,
     double ram,
@@ -42,19 +44,30 @@
         && !avoid.contains(room.machine);
   }
 
+  /**
+   * Whether the first job has to leave kept room to the second: by rank, then by arrival. It is the same
+   * order everywhere, so two jobs cannot hold for ever what the other lacks.
+   */
+  public static boolean goesAfter(int rank, long acceptedAt, String job, int otherRank, long otherAcceptedAt, String other) {
+    if (rank != otherRank) {
+      return rank > otherRank;
+    }
+    return acceptedAt != otherAcceptedAt ? acceptedAt > otherAcceptedAt : job.compareTo(other) > 0;
+  }
+
   /** How many of the tasks the machine's free room holds. */
   public int fitting(Room room) {
     double e = org.sandford.Constants.EPSILON;
-    boolean kept = room.keptFrom(job, rank);
+    double[] kept = room.keptFrom(this);
     double most = Integer.MAX_VALUE;
     if (cpus > 0) {
-      most = Math.min(most, (room.freeCpus - (kept ? room.keptCpus : 0) + e) / cpus);
+      most = Math.min(most, (room.freeCpus - kept[0] + e) / cpus);
     }
     if (gpus > 0) {
-      most = Math.min(most, (room.freeGpus - (kept ? room.keptGpus : 0) + e) / gpus);
+      most = Math.min(most, (room.freeGpus - kept[1] + e) / gpus);
     }
     if (ram > 0) {
-      most = Math.min(most, (room.freeRam - (kept ? room.keptRam : 0) + e) / ram);
+      most = Math.min(most, (room.freeRam - kept[2] + e) / ram);
     }
     return (int) Math.max(0, Math.floor(most));
   }
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -43,13 +43,16 @@
     Map<Room, double[]> free = new LinkedHashMap<>();
     for (Room room : rooms) {
       if (need.allows(room)) {
-        boolean kept = room.keptFrom(need.job(), need.rank());
+        double[] from = room.keptFrom(need);
+        // What is kept for the job counts as free, even while those who were stopped for it still leave:
+        // otherwise others would be stopped once more.
+        double[] own = room.keptFor(need);
         free.put(
             room,
             new double[] {
-              room.freeCpus - (kept ? room.keptCpus : 0),
-              room.freeGpus - (kept ? room.keptGpus : 0),
-              room.freeRam - (kept ? room.keptRam : 0)
+              Math.max(own[0], room.freeCpus - from[0]),
+              Math.max(own[1], room.freeGpus - from[1]),
+              Math.max(own[2], room.freeRam - from[2])
             });
       }
     }
--- a/src/main/java/org/sandford/placement/Room.java
+++ b/src/main/java/org/sandford/placement/Room.java
@@ -1,9 +1,15 @@
 package org.sandford.placement;
 
+import java.util.List;
 import java.util.Set;
 
 /** A machine as placement sees it: what it is and what is free. Planning takes from it. */
 public final class Room {
+  /** Room kept for a job, from all that go after it. */
+  public record Kept(String job, int rank, long acceptedAt, double cpus, double gpus, double ram) {}
+
+  private static final double[] NOTHING = new double[3];
+
   public final String machine;
   public final String owner;
   public final String kind;
@@ -15,12 +21,8 @@
   public final double ram;
   /** Images that the machine is known to have. */
   public Set<String> images = Set.of();
-  /** The job that some of the free room is kept for, or an empty text. */
-  public String keptFor = "";
-  public int keptRank;
-  public double keptCpus;
-  public double keptGpus;
-  public double keptRam;
+  /** What of the room is kept for jobs. */
+  public List<Kept> kept = List.of();
   public double freeCpus;
   public double freeGpus;
   public double freeRam;
@@ -41,9 +43,30 @@
     this.freeRam = ram;
   }
 
-  /** Whether what is kept is kept from this job: from all others of the same rank or a lower one. */
-  public boolean keptFrom(String job, int rank) {
-    return !keptFor.isEmpty() && !keptFor.equals(job) && rank >= keptRank;
+  /** The CPUs, accelerators and memory that are kept from the job: for others that go before it. */
+  public double[] keptFrom(Need need) {
+    if (kept.isEmpty()) {
+      return NOTHING;
+    }
+    double[] sum = new double[3];
+    for (Kept k : kept) {
+      if (Need.goesAfter(need.rank(), need.acceptedAt(), need.job(), k.rank, k.acceptedAt, k.job)) {
+        sum[0] += k.cpus;
+        sum[1] += k.gpus;
+        sum[2] += k.ram;
+      }
+    }
+    return sum;
+  }
+
+  /** What is kept for the job itself; the tasks that were stopped for it may still be leaving. */
+  public double[] keptFor(Need need) {
+    for (Kept k : kept) {
+      if (k.job.equals(need.job())) {
+        return new double[] {k.cpus, k.gpus, k.ram};
+      }
+    }
+    return NOTHING;
   }
 
   public void take(double takenCpus, double takenGpus, double takenRam) {
--- a/src/test/java/org/sandford/machine/MachineTest.java
+++ b/src/test/java/org/sandford/machine/MachineTest.java
@@ -23,7 +23,7 @@
 
   private void acceptAndSend() {
     machine.absorb(said(1, machine.token()), true, 1);
-    machine.accept(new StartTask("red", 1L, "n-1", 3L, "wk-1", 0, 7L, 1, 1.0, 0.0, 1.0, "img"), 2);
+    machine.accept(new StartTask("red", 1L, "n-1", 3L, "wk-1", 0, 7L, 1, 0L, 1.0, 0.0, 1.0, "img"), 2);
     assertFalse(machine.orders(true, true, 3).isEmpty());
   }
 
