A silent zone keeps its machines; held-back reports of an ended tenure are old; frozen controllers

Found by the first try of it: a report held back by the cut, of a tenure whose lease is over, put tasks back into the books that ran elsewhere by then; it is old now (MachineTest).

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -361,6 +361,24 @@
   /** Faulty or lost machines given back at once: a bad job must not empty the fleet. */
   public static final int FAULTY_RETURNED_AT_ONCE = 2;
 
+  /** Share of a zone's machines that are silent at once when the zone counts as cut off. */
+  public static final double CUT_ZONE_SHARE = 0.6;
+
+  /** Machines that are silent at the least then: a few may well have died. */
+  public static final int CUT_ZONE_LEAST = 5;
+
+  /** Milliseconds in which it shows whether a zone is silent as a whole: its other machines are asked meanwhile. */
+  public static final int CUT_ZONE_DOUBT_MS = 2_500;
+
+  /** Machines of a zone and a share that are lost when the zone's others are asked. */
+  public static final int ZONE_PROBE_LOST = 2;
+
+  /** Milliseconds between two askings of a whole zone: each machine gets a question. */
+  public static final int ZONE_PROBE_PAUSE_MS = 6_000;
+
+  /** Milliseconds for which a cut zone's machines are kept: cuts last a minute, and a dead zone costs no more. */
+  public static final int CUT_ZONE_MS = 90_000;
+
   /** Milliseconds between two summaries in the log. */
   public static final int SUMMARY_MS = 30_000;
 }
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -71,6 +71,10 @@
   private final Map<String, Long> notedAt = new HashMap<>();
   private final Map<String, Long> removedAt = new HashMap<>();
   private final Map<String, Long> movedAt = new HashMap<>();
+  /** Zones of which several machines fell silent: until when it is open whether all of it did. */
+  private final Map<String, Long> doubtUntil = new HashMap<>();
+  /** Zones that fell silent as a whole, and when. */
+  private final Map<String, Long> cutSince = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
   private final Map<String, Long> vacatingSince = new HashMap<>();
   private final Map<String, Long> keptAt = new HashMap<>();
@@ -255,6 +259,7 @@
         }
       }
     }
+    noteCutZones(now);
     int faulty = 0;
     List<String> lost = new ArrayList<>();
     for (Roster.Seen seen : roster.all()) {
@@ -263,6 +268,9 @@
         continue;
       }
       if (view.state == MachineState.LOST) {
+        if (isCut(view.zone, now) || now < doubtUntil.getOrDefault(view.zone, 0L)) {
+          continue;
+        }
         int[] n = byOwner.getOrDefault(seen.owner(), new int[2]);
         boolean ownerCutOff = n[1] >= 3 && n[1] * 2 > n[0] && byOwner.size() > 1;
         Long moved = movedAt.get(view.machine);
@@ -289,6 +297,43 @@
     giveBack(lost);
   }
 
+  /**
+   * A zone that falls silent nearly as a whole is rather cut off than dead. Its machines are neither given
+   * back nor replaced in the zone for a while: what was rented there instead could not be reached either,
+   * and services that must spread have no other zone. Tasks that may run elsewhere do once leases are over.
+   */
+  private void noteCutZones(long now) {
+    Map<String, int[]> byZone = new HashMap<>();
+    for (Roster.Seen seen : roster.all()) {
+      MachineOwner place = share.machines().of().get(seen.view().machine);
+      if (place != null && place.seen() && roster.current(seen)) {
+        int[] n = byZone.computeIfAbsent(place.zone(), z -> new int[2]);
+        n[0]++;
+        n[1] += seen.view().state == MachineState.LOST ? 1 : 0;
+      }
+    }
+    byZone.forEach(
+        (zone, n) -> {
+          boolean silent = n[1] >= Constants.CUT_ZONE_LEAST && n[1] >= n[0] * Constants.CUT_ZONE_SHARE;
+          if (n[1] < Constants.CUT_ZONE_LEAST) {
+            doubtUntil.remove(zone);
+          } else {
+            // They fall silent one by one; returning the first would be too soon.
+            doubtUntil.putIfAbsent(zone, now + Constants.CUT_ZONE_DOUBT_MS);
+          }
+          if (!silent) {
+            cutSince.remove(zone);
+          } else if (cutSince.putIfAbsent(zone, now) == null) {
+            log.info("zone {} is silent: {} of its {} machines are lost; it counts as cut off", zone, n[1], n[0]);
+          }
+        });
+  }
+
+  private boolean isCut(String zone, long now) {
+    Long since = cutSince.get(zone);
+    return since != null && now - since < Constants.CUT_ZONE_MS;
+  }
+
   private String otherOwner(String label) {
     String best = "";
     int least = Integer.MAX_VALUE;
@@ -650,7 +695,11 @@
           int fits = Math.min(left, need.fitting(room));
           boolean zoneFull = need.zonesHeld().getOrDefault(zone, 0) >= need.scatterLimit();
           boolean wants =
-              need.allows(room) && fits > 0 && !zoneFull && (!spot || settings.operators().useSpot());
+              need.allows(room)
+                  && fits > 0
+                  && !zoneFull
+                  && !isCut(zone, now)
+                  && (!spot || settings.operators().useSpot());
           if (!wants || pausedUntil.getOrDefault(pool, 0L) > now) {
             continue;
           }
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -97,10 +97,17 @@
     return api;
   }
 
+  /** What is known of all machines here. */
+  public Roster roster() {
+    return roster;
+  }
+
   private void beat() {
     mapKnown = share.known();
     links.askOthers(mapKnown);
-    links.askOthers(new Demand(new ArrayList<>(jobs.demand())));
+    if (!share.leads()) {
+      links.ask(share.leaderLabel(), new Demand(new ArrayList<>(jobs.demand())));
+    }
     links.publish(PeerLinks.beat(share.holdValid()));
     share.teamsToSpread()
         .forEach((team, owner) -> links.ask(Share.labelOf(owner.owner()), new Yield(team, owner.generation())));
--- a/src/main/java/org/sandford/core/Loop.java
+++ b/src/main/java/org/sandford/core/Loop.java
@@ -23,13 +23,19 @@
     return nanos() / 1_000_000;
   }
 
-  /** Runs again and again, each time so many milliseconds after the last run ended. */
+  /**
+   * Runs again and again, each time so many milliseconds after the last run ended, even if that failed:
+   * a fault in one look must not be the last look.
+   */
   default void every(long millis, Runnable what) {
     after(
         millis,
         () -> {
-          what.run();
-          every(millis, what);
+          try {
+            what.run();
+          } finally {
+            every(millis, what);
+          }
         });
   }
 }
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -66,6 +66,7 @@
   private final Map<String, Long> announced = new HashMap<>();
   private final Set<String> dirty = new LinkedHashSet<>();
   private final Set<String> gone = new LinkedHashSet<>();
+  private final Map<String, Long> zoneProbedAt = new HashMap<>();
   private boolean publishing;
   private boolean learning;
 
@@ -695,6 +696,31 @@
     machine.dropQueued();
     machine.becomes(MachineState.LOST, String.format("silent for %.1f s", silent));
     mark(machine);
+    probeZone(machine.place.zone());
+  }
+
+  /**
+   * Where several machines of a zone are lost, its others are asked at once: whether the whole zone is cut
+   * off must be known before the first machines are given back.
+   */
+  private void probeZone(String zone) {
+    long now = loop.nanos();
+    List<Machine> others = new ArrayList<>();
+    int lost = 0;
+    for (Machine machine : machines.values()) {
+      if (machine.place.zone().equals(zone)) {
+        lost += machine.state() == MachineState.LOST ? 1 : 0;
+        if (expected(machine) && now - machine.heardAt > Constants.PROBE_CALL_MS * 1_000_000L) {
+          others.add(machine);
+        }
+      }
+    }
+    Long before = zoneProbedAt.get(zone);
+    boolean again = before == null || now - before > Constants.ZONE_PROBE_PAUSE_MS * 1_000_000L;
+    if (again && lost >= Constants.ZONE_PROBE_LOST) {
+      zoneProbedAt.put(zone, now);
+      others.forEach(this::probe);
+    }
   }
 
   /** Asks a worker whose report is overdue; one that does not answer this either counts as lost. */
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -103,6 +103,8 @@
   int directFailures;
   long syncTriedAt = Long.MIN_VALUE / 2;
   boolean leaseOver;
+  /** The last tenure whose lease is known to be over. */
+  private long overTenure;
   final Map<Key, Entry> entries = new LinkedHashMap<>();
   final Set<String> images = new LinkedHashSet<>();
   private int imageChanges;
@@ -246,9 +248,13 @@
     }
   }
 
-  /** Whether the message is older than what is known. */
+  /**
+   * Whether the message is older than what is known. One of a tenure whose lease is over was held back: its
+   * tasks are long gone, and some run elsewhere.
+   */
   boolean stale(WorkerReport report) {
-    return report.tenure() < tenure || (report.tenure() == tenure && report.serial() <= serial);
+    return report.tenure() <= overTenure
+        || report.tenure() < tenure || (report.tenure() == tenure && report.serial() <= serial);
   }
 
   /**
@@ -345,6 +351,7 @@
   /** The worker's lease is surely over, and with it every task and every command of that tenure. */
   void leaseIsOver() {
     leaseOver = true;
+    overTenure = tenure;
     entries.clear();
   }
 
--- a/src/main/java/org/sandford/machine/Roster.java
+++ b/src/main/java/org/sandford/machine/Roster.java
@@ -19,12 +19,24 @@
   private final Share share;
   private final Map<String, Seen> seen = new LinkedHashMap<>();
   private final Map<String, Boolean> holds = new HashMap<>();
+  private long looks;
+  private long taken;
 
   public Roster(Loop loop, Share share) {
     this.loop = loop;
     this.share = share;
   }
 
+  /** Counts views that were looked at, so that tests can hold the cost of reports, plans and ticks. */
+  public long looks() {
+    return looks;
+  }
+
+  /** Counts views that were taken in: reports without news must not become any. */
+  public long taken() {
+    return taken;
+  }
+
   /** Takes in views; those of an older generation than known are left out. */
   public void take(String from, Views views) {
     holds.put(from, views.holdValid);
@@ -33,6 +45,7 @@
     }
     views.gone.forEach(name -> seen.computeIfPresent(name, (n, s) -> s.owner.equals(from) ? null : s));
     for (MachineView view : views.machines) {
+      taken++;
       if (fresh(view)) {
         seen.put(view.machine, new Seen(from, view, loop.nanos()));
       }
@@ -49,10 +62,12 @@
   }
 
   public Collection<Seen> all() {
+    looks += seen.size();
     return seen.values();
   }
 
   public Seen get(String machine) {
+    looks++;
     return seen.get(machine);
   }
 
--- a/src/test/java/org/sandford/machine/MachineTest.java
+++ b/src/test/java/org/sandford/machine/MachineTest.java
@@ -64,6 +64,14 @@
     assertFalse(machine.settled());
   }
 
+  @Test
+  void aReportOfATenureThatIsOverWasHeldBack() {
+    acceptAndSend();
+    machine.leaseIsOver();
+    assertTrue(machine.stale(said(1, machine.token())));
+    assertFalse(machine.stale(said(2, machine.token())));
+  }
+
   @Test
   void anOlderMessageIsKnownAsSuch() {
     WorkerReport old = said(1, 0);
--- a/src/test/java/org/sandford/scenario/CloudStandIn.java
+++ b/src/test/java/org/sandford/scenario/CloudStandIn.java
@@ -52,6 +52,10 @@
     return machine;
   }
 
+  int rented() {
+    return number;
+  }
+
   void take(String name) {
     Rented machine = machines.remove(name);
     if (machine != null && machine.worker != null) {
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -10,8 +10,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 import org.sandford.core.Controller;
 import org.sandford.core.Json;
+import org.sandford.machine.Roster;
 import org.sandford.settings.Settings;
 
 /**
@@ -57,7 +59,7 @@
   private final StoreStandIn store;
   private final Map<String, SimPeers> peers = new HashMap<>();
   private final Map<String, World.ProcessLoop> processes = new TreeMap<>();
-  private final Map<String, Controller> running = new TreeMap<>();
+  final Map<String, Controller> running = new TreeMap<>();
   private final Map<String, Settings.Team> teams = new LinkedHashMap<>();
   private final List<Step> steps = new ArrayList<>();
   private final List<String> failures = new ArrayList<>();
@@ -71,6 +73,8 @@
   private int machinesAtStart = 1;
   private WorkerStandIn hung;
   private long lastTrouble;
+  private long looksBefore;
+  private long viewsBefore;
 
   Scenario(String name, List<String> lines) {
     long seed = 7;
@@ -116,6 +120,18 @@
 
   /** Plays it and returns what went wrong: broken rules and expectations that were not met. */
   List<String> play() {
+    begin();
+    for (Step step : steps) {
+      world.runUntil(step.at);
+      carryOut(step);
+    }
+    world.runUntil(until);
+    List<String> wrong = new ArrayList<>(world.broken);
+    wrong.addAll(failures);
+    return wrong;
+  }
+
+  private void begin() {
     for (String zone : zones) {
       for (int i = 0; i < machinesAtStart; i++) {
         cloud.rent(zone, false, 0.01);
@@ -125,14 +141,6 @@
       start("c" + i);
     }
     watchTrouble();
-    for (Step step : steps) {
-      world.runUntil(step.at);
-      carryOut(step);
-    }
-    world.runUntil(until);
-    List<String> wrong = new ArrayList<>(world.broken);
-    wrong.addAll(failures);
-    return wrong;
   }
 
   WorkerStandIn boot(CloudStandIn.Rented machine) {
@@ -166,9 +174,8 @@
     servers.put(
         label,
         (from, method, path, body, respond) -> {
-          if (loop.alive) {
-            controller.api().take(method, path, body, a -> respond.accept(new Server.Response(a.status(), a.body())));
-          }
+          loop.whenAwake(
+              () -> controller.api().take(method, path, body, a -> respond.accept(new Server.Response(a.status(), a.body()))));
         });
     loop.execute(controller::start);
   }
@@ -190,7 +197,10 @@
       case "ask" -> poll(w.get(1), anyController());
       case "crash" -> each(w.get(1)).forEach(this::crash);
       case "start" -> each(w.get(1)).forEach(this::start);
+      case "freeze" -> processes.get(w.get(1)).freeze(Double.parseDouble(w.get(2)));
       case "cut" -> world.cut(host(w.get(1)), host(w.get(2)), w.size() > 3 && w.get(3).equals("lose") ? World.Cut.LOSE : World.Cut.HOLD);
+      case "cut-zone" -> inZone(w.get(1)).forEach(host -> world.cut(host, "*", World.Cut.HOLD));
+      case "heal-zone" -> inZone(w.get(1)).forEach(host -> world.heal(host, "*"));
       case "deafen" -> world.cutOneWay("*", host(w.get(1)), World.Cut.LOSE);
       case "hears" -> world.heal("*", w.get(1));
       case "late_reports" -> world.lateReports = w.get(1).equals("on");
@@ -220,15 +230,24 @@
       case "faulty" -> worker(w.get(1)).faulty = true;
       case "notice" -> worker(w.get(1)).notice(Double.parseDouble(w.get(2)));
       case "take" -> cloud.take(host(w.get(1)));
+      case "count" -> {
+        looksBefore = sum(Roster::looks);
+        viewsBefore = sum(Roster::taken);
+      }
       case "expect" -> expect(step, w);
       default -> throw new IllegalArgumentException(step.file + ":" + step.line + ": not understood: " + step.text);
     }
   }
 
+  private long sum(ToLongFunction<Roster> of) {
+    return running.values().stream().mapToLong(c -> of.applyAsLong(c.roster())).sum();
+  }
+
   /** When there was trouble last: now, or when the last of it ended. */
   private long troubledAt() {
     boolean trouble =
-        world.anyCut() || running.size() < controllers || store.inTrouble() || cloud.outage || world.duplicates
+        world.anyCut() || running.size() < controllers
+            || processes.values().stream().anyMatch(World.ProcessLoop::frozen) || store.inTrouble() || cloud.outage || world.duplicates
             || world.lateReports;
     lastTrouble = trouble ? world.now() : lastTrouble;
     return lastTrouble;
@@ -239,6 +258,11 @@
     world.after(500, this::watchTrouble);
   }
 
+  /** The machines of a zone, which no controller is in that could still reach them. */
+  private List<String> inZone(String zone) {
+    return cloud.machines.values().stream().filter(m -> m.zone.equals(zone)).map(m -> m.name).toList();
+  }
+
   private List<String> each(String label) {
     if (!label.equals("all")) {
       return List.of(label);
@@ -409,6 +433,11 @@
           case "running" -> String.valueOf(runningTasks(w.get(2)));
           case "started" -> String.valueOf(rules.started);
           case "machines" -> String.valueOf(cloud.machines.size());
+          // All that were ever rented.
+          case "rented" -> String.valueOf(cloud.rented());
+          // Work of all controllers since the last "count".
+          case "looks" -> String.valueOf(sum(Roster::looks) - looksBefore);
+          case "views" -> String.valueOf(sum(Roster::taken) - viewsBefore);
           case "began" -> String.valueOf(
               submitted.get(w.get(2)).beganAt < 0
                   ? Integer.MAX_VALUE
--- a/src/test/java/org/sandford/scenario/SimHttp.java
+++ b/src/test/java/org/sandford/scenario/SimHttp.java
@@ -60,7 +60,7 @@
                   world.carry(
                       target,
                       host,
-                      () -> once.accept(new Reply(response.status(), Json.bytes(response.body())))));
+                      () -> loop.whenAwake(() -> once.accept(new Reply(response.status(), Json.bytes(response.body()))))));
         });
   }
 }
--- a/src/test/java/org/sandford/scenario/SimPeers.java
+++ b/src/test/java/org/sandford/scenario/SimPeers.java
@@ -45,11 +45,14 @@
             near.ended();
             return;
           }
-          far.handler.opened(far);
+          peer.loop.whenAwake(() -> far.handler.opened(far));
           world.carry(target, host, () -> {
-            if (loop.alive && near.open) {
-              handler.opened(near);
-            }
+            loop.whenAwake(
+                () -> {
+                  if (near.open) {
+                    handler.opened(near);
+                  }
+                });
           });
         });
   }
@@ -76,8 +79,13 @@
           () -> {
             if (!other.owner.loop.alive) {
               ended();
-            } else if (other.open) {
-              other.handler.frame(other, frame);
+            } else {
+              other.owner.loop.whenAwake(
+                  () -> {
+                    if (other.open) {
+                      other.handler.frame(other, frame);
+                    }
+                  });
             }
           });
     }
@@ -92,10 +100,13 @@
     }
 
     private void ended() {
-      if (open && owner.loop.alive) {
-        open = false;
-        handler.closed(this);
-      }
+      owner.loop.whenAwake(
+          () -> {
+            if (open) {
+              open = false;
+              handler.closed(this);
+            }
+          });
     }
   }
 }
--- a/src/test/java/org/sandford/scenario/World.java
+++ b/src/test/java/org/sandford/scenario/World.java
@@ -157,6 +157,8 @@
   final class ProcessLoop implements Loop {
     private final double drift;
     boolean alive = true;
+    /** Until then the process stands still while its clocks run on. */
+    private long frozenUntil;
 
     ProcessLoop(double drift) {
       this.drift = drift;
@@ -167,6 +169,23 @@
       return (long) (now * (1 + drift));
     }
 
+    void freeze(double seconds) {
+      frozenUntil = now + (long) (seconds * 1e9);
+    }
+
+    boolean frozen() {
+      return now < frozenUntil;
+    }
+
+    /** Runs it now, or, in the order in which it came, once the process goes on. */
+    void whenAwake(Runnable what) {
+      if (now < frozenUntil) {
+        World.this.at(frozenUntil, () -> whenAwake(what));
+      } else if (alive) {
+        what.run();
+      }
+    }
+
     @Override
     public long wallMillis() {
       return 1_700_000_000_000L + now / MS;
@@ -178,22 +197,19 @@
       World.this.after(
           millis,
           () -> {
-            if (alive && !off[0]) {
-              what.run();
-            }
+            whenAwake(
+                () -> {
+                  if (!off[0]) {
+                    what.run();
+                  }
+                });
           });
       return () -> off[0] = true;
     }
 
     @Override
     public void execute(Runnable what) {
-      World.this.at(
-          now,
-          () -> {
-            if (alive) {
-              what.run();
-            }
-          });
+      World.this.at(now, () -> whenAwake(what));
     }
   }
 }
