--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -16,7 +16,7 @@
   public static final double KILL_MARGIN_S = 1.5;
 
   /** Milliseconds for which events gather while many come: far below what users and workers wait for. */
-  public static final int PACE_MS = 10;
+  public static final int PACE_MS = 20;
 
   /** Times that pace between two rounds of events above which events count as few. */
   public static final int PACE_BELOW = 2;
@@ -199,14 +199,29 @@
   /** Seconds a silent machine of a former owner must be left before its tasks are surely over, beyond cancel_s. */
   public static final double FOREIGN_LEASE_EXTRA_S = 2.0;
 
+  /** Milliseconds between two listings of open jobs for tasks of unknown jobs: a takeover asks for many. */
+  public static final int LEARN_PAUSE_MS = 700;
+
   /** Distinct jobs that must fail on a machine, with none done in between, until it counts as faulty. */
   public static final int FAULTY_JOBS = 2;
 
   /** Images remembered for a machine; the worker keeps the most recently used ones. */
   public static final int IMAGES_REMEMBERED = 24;
 
-  /** Milliseconds between two publications of changed views: changes within are sent together. */
-  public static final int PUBLISH_MS = 60;
+  /**
+   * Milliseconds between two publications of changed views: changes within are sent together. Each goes to
+   * every controller; users wait for seconds.
+   */
+  public static final int PUBLISH_MS = 120;
+
+  /** Milliseconds between two looks for machines that are silent or wait for commands. */
+  public static final int FLEET_TICK_MS = 250;
+
+  /** Milliseconds between two goes of telling machines anew that did not change. */
+  public static final int REFRESH_MS = 1_000;
+
+  /** Milliseconds in which all machines are told anew: what was missed is made up by then. */
+  public static final int REFRESHED_MS = 30_000;
 
   // --- jobs ------------------------------------------------------------------------------------------------
 
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -396,7 +396,9 @@
   }
 
   private void takeView(String from, MachineView view) {
-    if (!view.settled) {
+    // A view that comes after its machine left the map tells of tasks that are gone; taken in, they would
+    // hold their places for ever, since nothing is heard of that machine again.
+    if (!view.settled || !share.machines().of().containsKey(view.machine)) {
       return;
     }
     Set<Attempt> told = new HashSet<>();
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -67,8 +68,10 @@
   private final Set<String> dirty = new LinkedHashSet<>();
   private final Set<String> gone = new LinkedHashSet<>();
   private final Map<String, Long> zoneProbedAt = new HashMap<>();
+  private Iterator<String> refreshing;
   private boolean publishing;
   private boolean learning;
+  private long learnedAt = Long.MIN_VALUE / 2;
 
   public Fleet(
       Loop loop,
@@ -92,7 +95,29 @@
   }
 
   public void start() {
-    loop.every(250, this::tick);
+    loop.every(Constants.FLEET_TICK_MS, this::tick);
+    loop.every(Constants.REFRESH_MS, this::refresh);
+  }
+
+  /**
+   * Tells some machines anew in turn. Views go out only with news, so one that a controller could not use
+   * when it came, since its map was older, would be missing there for as long as the machine stays as it is;
+   * a cancelled job's task kept its room in the books for ever that way.
+   */
+  private void refresh() {
+    int part = (int) Math.ceil(machines.size() * (double) Constants.REFRESH_MS / Constants.REFRESHED_MS);
+    for (int i = 0; i < part; i++) {
+      if (refreshing == null || !refreshing.hasNext()) {
+        refreshing = new ArrayList<>(machines.keySet()).iterator();
+      }
+      if (!refreshing.hasNext()) {
+        return;
+      }
+      Machine machine = machines.get(refreshing.next());
+      if (machine != null) {
+        mark(machine);
+      }
+    }
   }
 
   // --- the map ----------------------------------------------------------------------------------------
@@ -488,6 +513,16 @@
       return;
     }
     learning = true;
+    long pause = learnedAt + Constants.LEARN_PAUSE_MS - loop.millis();
+    if (pause > 0) {
+      loop.after(pause, this::learnNow);
+    } else {
+      learnNow();
+    }
+  }
+
+  private void learnNow() {
+    learnedAt = loop.millis();
     List<Entry> asked = new ArrayList<>();
     machines.values().forEach(m -> m.entries.values().stream().filter(e -> !e.known).forEach(asked::add));
     jobs.openJobs(
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -287,7 +287,9 @@
         changed = true;
       }
       entry.start = Start.SEEN;
-      changed |= entry.state != held.state() || entry.cause != held.cause();
+      // Nobody decides by whether a task that does not run yet waits for its image.
+      boolean fetches = entry.state == TaskState.STARTING && held.state() == TaskState.FETCHING;
+      changed |= (entry.state != held.state() && !fetches) || entry.cause != held.cause();
       if (entry.state != held.state()) {
         if (held.state() == TaskState.RUNNING) {
           entry.since = now;
@@ -304,7 +306,8 @@
       Entry entry = it.next();
       if (!seen.contains(entry.key) && settledAbsent(entry, said, report, newTenure)) {
         it.remove();
-        changed = true;
+        // What had exited took no room, and its owner has heard of it.
+        changed |= entry.onMachine();
       }
     }
     return changed || settled() != wasSettled || faulty != wasFaulty || imageChanges != wereImages;
