--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -683,10 +683,12 @@
           switch (found.kind()) {
             case OPEN -> {
               JobSpec stored = JobStore.spec(job.spec.id(), found.record());
-              if (stored.equals(job.spec)) {
+              // Another controller's record may have had tasks started under it, so it counts as inherited.
+              boolean ours = found.record().path("a").asLong() == job.acceptedAt;
+              if (ours && stored.equals(job.spec)) {
                 accepted(job, found.revision(), 200);
               } else {
-                // The id was used before, with another body: that first one is the job.
+                // The id was used before, perhaps with another body: that first one is the job.
                 List<Consumer<Answer>> asking = new ArrayList<>(job.submitters);
                 discard(job);
                 Job first = jobs.get(job.spec.id());
@@ -716,10 +718,26 @@
       job.revision = found.revision();
       job.inherit(TaskRanges.read(found.record().path("d")));
       adopt(team, job);
+      findTasks(job);
       planSoon();
     }
   }
 
+  /**
+   * Takes in what the machines hold of a job that was not known when they told of it; a former owner may have
+   * started its tasks, and what does not change is not told again at once.
+   */
+  private void findTasks(Job job) {
+    for (Roster.Seen seen : List.copyOf(roster.all())) {
+      MachineView view = seen.view();
+      if (view.settled && share.machines().of().containsKey(view.machine)) {
+        view.tasks.stream()
+            .filter(task -> task.job.equals(job.spec.id()))
+            .forEach(task -> takeTask(seen.owner(), view, job, task));
+      }
+    }
+  }
+
   /**
    * Stores a job whose team's owner cannot take it just now: the record alone makes it accepted. Only
    * the owner ever starts its tasks; a key that all controllers watch tells it of the job.
