--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -342,7 +342,11 @@
     }
   }
 
-  /** A new link ends the old one at the far end, so a start that was not taken by then never will be. */
+  /**
+   * A new link ends the old one at the far end, so a start that was not taken by then never will be. That holds
+   * for the same life of the owner only: a former one may have taken it and ended before its answer went out.
+   * Then the machine's next owner tells.
+   */
   private void dropUnanswered(String from, Views views) {
     int round = linkRounds.getOrDefault(from, 0);
     Set<Attempt> told = new HashSet<>();
@@ -352,6 +356,7 @@
         if (p.phase() == TaskPhase.REQUESTED
             && p.owner.equals(from)
             && p.linkRound < round
+            && sameLife(p, links.lifeOf(from))
             && !told.contains(Attempt.of(p))) {
           unplace(job, p);
         }
@@ -359,6 +364,11 @@
     }
   }
 
+  private boolean sameLife(Placed p, String life) {
+    MachineOwner place = share.machines().of().get(p.machine);
+    return place != null && place.generation() == p.machineGeneration && place.owner().equals(life);
+  }
+
   public void startAnswered(StartAnswer answer) {
     Job job = jobs.get(answer.job);
     Placed p = job == null ? null : job.at(answer.task);
--- a/src/main/java/org/sandford/peer/PeerLinks.java
+++ b/src/main/java/org/sandford/peer/PeerLinks.java
@@ -99,6 +99,12 @@
     return out != null && out.state == Dialled.LIVE;
   }
 
+  /** The life of the controller at the far end of the last link to it, or an empty text. */
+  public String lifeOf(String label) {
+    Out out = outs.get(label);
+    return out == null ? "" : out.life;
+  }
+
   public boolean anyLive() {
     return outs.values().stream().anyMatch(out -> out.state == Dialled.LIVE);
   }
@@ -154,6 +160,7 @@
     private Dialled state = Dialled.IDLE;
     private Connection connection;
     private long heardAt;
+    private String life = "";
     private int round;
 
     Out(Settings.Other peer) {
@@ -224,7 +231,8 @@
         return;
       }
       heardAt = loop.millis();
-      if (message instanceof Welcome && state == Dialled.GREETING) {
+      if (message instanceof Welcome welcome && state == Dialled.GREETING) {
+        life = welcome.label + "#" + welcome.incarnation;
         becomes(Dialled.LIVE);
       } else if (state == Dialled.LIVE) {
         asking.told(peer.label(), message);
