--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -249,17 +249,23 @@
 
   /** Lost and faulty machines are given back, which frees their tasks sooner than their lease. */
   private void replaceBroken(long now) {
+    // Machines that came up, and how many of them are lost.
     Map<String, int[]> byOwner = new HashMap<>();
+    Map<String, int[]> byZone = new HashMap<>();
     for (Roster.Seen seen : roster.all()) {
-      if (roster.current(seen) && share.machines().of().get(seen.view().machine).seen()) {
-        int[] n = byOwner.computeIfAbsent(seen.owner(), o -> new int[2]);
-        n[0]++;
-        if (seen.view().state == MachineState.LOST) {
-          n[1]++;
+      MachineView view = seen.view();
+      if (roster.current(seen) && share.machines().of().get(view.machine).seen()) {
+        int lost = view.state == MachineState.LOST ? 1 : 0;
+        for (int[] n :
+            List.of(
+                byOwner.computeIfAbsent(seen.owner(), o -> new int[2]),
+                byZone.computeIfAbsent(view.zone, z -> new int[2]))) {
+          n[0]++;
+          n[1] += lost;
         }
       }
     }
-    noteCutZones(now);
+    noteCutZones(byZone, now);
     int faulty = 0;
     List<String> lost = new ArrayList<>();
     for (Roster.Seen seen : roster.all()) {
@@ -302,16 +308,7 @@
    * back nor replaced in the zone for a while: what was rented there instead could not be reached either,
    * and services that must spread have no other zone. Tasks that may run elsewhere do once leases are over.
    */
-  private void noteCutZones(long now) {
-    Map<String, int[]> byZone = new HashMap<>();
-    for (Roster.Seen seen : roster.all()) {
-      MachineOwner place = share.machines().of().get(seen.view().machine);
-      if (place != null && place.seen() && roster.current(seen)) {
-        int[] n = byZone.computeIfAbsent(place.zone(), z -> new int[2]);
-        n[0]++;
-        n[1] += seen.view().state == MachineState.LOST ? 1 : 0;
-      }
-    }
+  private void noteCutZones(Map<String, int[]> byZone, long now) {
     byZone.forEach(
         (zone, n) -> {
           boolean silent = n[1] >= Constants.CUT_ZONE_LEAST && n[1] >= n[0] * Constants.CUT_ZONE_SHARE;
