--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -114,6 +114,9 @@
   /** Bytes of the largest frame taken from a peer: the views of a whole share fit many times. */
   public static final int PEER_FRAME_BYTES = 4 * 1024 * 1024;
 
+  /** Frames written to a peer in one go before they leave in any case: a burst of starts fits. */
+  public static final int PEER_FLUSHES_TOGETHER = 256;
+
   /** Bytes queued for a peer that does not read, after which the link is closed. */
   public static final int PEER_BACKLOG_BYTES = 2 * 1024 * 1024;
 
@@ -149,6 +152,18 @@
   /** Sockets kept back for peers, the store, the cloud and what is just being closed. */
   public static final int SOCKETS_RESERVED = 48;
 
+  /** Share of the users' and workers' connections that workers may keep open; the rest is left to users. */
+  public static final double SOCKETS_OF_WORKERS = 0.75;
+
+  /** Connections beyond the room that are still answered and then closed; fewer than are reserved. */
+  public static final int SOCKETS_OVERDRAWN = 24;
+
+  /** Connections that may wait to be taken: after a takeover a whole fleet comes within a second. */
+  public static final int BACKLOG = 1_024;
+
+  /** Where workers' reports go, which tells their connections from users'. */
+  public static final String REPORTS_PATH = "/hello";
+
   /** Sockets when the facts name no limit. */
   public static final int DEFAULT_SOCKETS = 1_024;
 
@@ -185,7 +200,7 @@
   public static final int IMAGES_REMEMBERED = 24;
 
   /** Milliseconds between two publications of changed views: changes within are sent together. */
-  public static final int PUBLISH_MS = 5;
+  public static final int PUBLISH_MS = 20;
 
   // --- jobs ------------------------------------------------------------------------------------------------
 
@@ -196,7 +211,7 @@
   public static final int PROGRESS_MS = 8_000;
 
   /** Milliseconds between two planning rounds at the least: what arrives within is planned together. */
-  public static final int PLAN_MS = 10;
+  public static final int PLAN_MS = 20;
 
   /** Share of the time that planning rounds may take; reports and users need the rest of the processor. */
   public static final double PLAN_TIME_SHARE = 0.1;
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -78,7 +78,7 @@
   public void take(String method, String uri, byte[] body, Consumer<Answer> answer) {
     int query = uri.indexOf('?');
     String path = query < 0 ? uri : uri.substring(0, query);
-    if (path.equals("/hello")) {
+    if (path.equals(Constants.REPORTS_PATH)) {
       only("POST", method, answer, () -> answer.accept(fleet.hello(Json.read(body))));
     } else if (path.equals("/up")) {
       only("GET", method, answer, () -> answer.accept(up()));
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -67,7 +67,7 @@
     Lookup lookup = new Lookup(state, finals);
     share = new Share(loop, settings, state);
     links = new PeerLinks(loop, settings, peers, share::incarnation);
-    roster = new Roster(share);
+    roster = new Roster(loop, share);
     fleet = new Fleet(loop, settings, share, http, links, store, this::flavor, finals::contains, roster);
     jobs =
         new Jobs(
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -75,6 +75,8 @@
   private final RoomBook rooms;
   private final Map<String, Integer> linkRounds = new HashMap<>();
   private final Map<Attempt, Long> preempted = new HashMap<>();
+  /** The machines of the map as they were looked at last. */
+  private Map<String, MachineOwner> machines = Map.of();
   /** How many tasks of a class found no place at the last try, which holds until room grows. */
   private final Map<LikeTasks, Integer> hopeless = new HashMap<>();
   private long hopelessSince = -1;
@@ -147,17 +149,32 @@
     if (gained) {
       load();
     }
-    // A machine that left the map is gone, and all that was on it: its return was answered.
-    for (Job job : jobs.values()) {
-      for (Placed p : job.placed()) {
-        if (!share.machines().of().containsKey(p.machine)) {
-          lost(job, p, "its machine " + p.machine + " is gone");
-        }
+    machinesChanged();
+    settleAnew();
+    planSoon();
+  }
+
+  /** Looks only at machines that changed: the map of a large fleet changes in parts, several times a second. */
+  private void machinesChanged() {
+    Map<String, MachineOwner> now = share.machines().of();
+    if (now == machines) {
+      return;
+    }
+    Map<String, MachineOwner> before = machines;
+    machines = now;
+    now.forEach(
+        (name, place) -> {
+          if (!place.equals(before.get(name))) {
+            rooms.changed(name);
+          }
+        });
+    for (String name : before.keySet()) {
+      if (!now.containsKey(name)) {
+        rooms.changed(name);
+        // It is gone, and all that was on it: its return was answered.
+        rooms.on(name).forEach(p -> lost(p.job, p, "its machine " + name + " is gone"));
       }
     }
-    rooms.allChanged();
-    checkReady();
-    planSoon();
   }
 
   private void gain(String name, long generation) {
@@ -225,7 +242,7 @@
             team.jobs.values().forEach(this::tend);
           }
           Map.copyOf(share.added()).forEach(this::takeAdded);
-          checkReady();
+          settleAnew();
           planSoon();
         });
   }
@@ -236,31 +253,57 @@
     lookup.remember(job.spec.id(), team.name);
   }
 
-  private void checkReady() {
+  /**
+   * Looks at what is still to be told for the teams that were taken over. The first look of a team goes
+   * through the whole map. Machines that enter the map later are in nobody's book but in that of owners
+   * who took the claim, since their place in the map came after the team's.
+   */
+  private void settleAnew() {
     for (Team team : teams.values()) {
       if (team.phase() != Team.Phase.SETTLING) {
         continue;
       }
-      Set<String> open = new HashSet<>();
-      share
-          .machines()
-          .of()
-          .forEach(
-              (name, place) -> {
-                if (place.seen() && !team.settled.contains(name)) {
-                  Roster.Seen seen = roster.get(name);
-                  if (seen != null && seen.view().settled && roster.current(seen) && team.claimed.contains(seen.owner())) {
-                    team.settled.add(name);
-                  } else {
-                    open.add(name);
-                  }
-                }
-              });
-      if (open.isEmpty()) {
-        team.becomes(Team.Phase.READY);
-        log.info("team {}: where its tasks are is known", team.name);
-        planSoon();
+      if (team.open == null) {
+        team.open = new HashSet<>();
+        share.machines().of().forEach((name, place) -> {
+          if (place.seen()) {
+            team.open.add(name);
+          }
+        });
       }
+      team.open.removeIf(name -> isTold(team, name));
+      readyIfTold(team);
+    }
+  }
+
+  /** The same for machines that were just told of: in a takeover views come by the hundred. */
+  private void settle(Iterable<MachineView> views) {
+    for (Team team : teams.values()) {
+      if (team.phase() == Team.Phase.SETTLING && team.open != null) {
+        for (MachineView view : views) {
+          if (team.open.contains(view.machine) && isTold(team, view.machine)) {
+            team.open.remove(view.machine);
+          }
+        }
+        readyIfTold(team);
+      }
+    }
+  }
+
+  /** Whether all that the machine holds, or may yet be made to hold, of the team is known; or it is gone. */
+  private boolean isTold(Team team, String machine) {
+    if (!share.machines().of().containsKey(machine)) {
+      return true;
+    }
+    Roster.Seen seen = roster.get(machine);
+    return seen != null && seen.view().settled && roster.current(seen) && team.claimed.contains(seen.owner());
+  }
+
+  private void readyIfTold(Team team) {
+    if (team.open.isEmpty()) {
+      team.becomes(Team.Phase.READY);
+      log.info("team {}: where its tasks are is known", team.name);
+      planSoon();
     }
   }
 
@@ -275,7 +318,7 @@
     Team team = teams.get(answer.team);
     if (team != null && team.generation == answer.generation && answer.accepted) {
       team.claimed.add(from);
-      checkReady();
+      settleAnew();
     }
   }
 
@@ -293,7 +336,7 @@
       rooms.allChanged();
       dropUnanswered(from, views);
     }
-    checkReady();
+    settle(views.machines);
     if (!views.machines.isEmpty()) {
       planSoon();
     }
@@ -337,9 +380,17 @@
   private void place(Job job, Placed p) {
     job.place(p);
     rooms.placed(p);
+    Team team = teams.get(job.spec.team());
+    if (team != null) {
+      team.holds(job, 1);
+    }
   }
 
   private void unplace(Job job, Placed p) {
+    Team team = teams.get(job.spec.team());
+    if (team != null && job.at(p.task) == p) {
+      team.holds(job, -1);
+    }
     job.unplace(p, loop.nanos());
     rooms.unplaced(p);
   }
@@ -974,7 +1025,8 @@
       stop(job, p, 0);
     }
     job.clears.forEach(clear -> clear(job, clear));
-    if (state.equals("done") || job.holding() == 0) {
+    // What still stands somewhere counts against the team's limit until it is gone.
+    if (job.holding() == 0) {
       discard(job);
     } else {
       leave(job);
@@ -982,7 +1034,7 @@
     planSoon();
   }
 
-  /** A cancelled job counts against its team until its tasks are gone, and is stopped till then. */
+  /** A job that is over counts against its team until its tasks are gone, and is stopped till then. */
   private void leave(Job job) {
     if (job.holding() == 0 || jobs.get(job.spec.id()) != job) {
       discard(job);
@@ -1049,6 +1101,7 @@
   }
 
   private void plan(List<Job> queue) {
+    teams.values().forEach(Team::countHeld);
     List<Room> free = rooms.usable();
     if (rooms.growth() != hopelessSince || plannedAt - hopelessAt > Constants.PLAN_IDLE_MS) {
       hopelessSince = rooms.growth();
@@ -1218,11 +1271,14 @@
         if (!roster.current(seen) || seen.view().state != MachineState.UP) {
           continue;
         }
+        // Views come only when something changes, so tasks have aged since.
+        double sinceS = (loop.nanos() - seen.at()) / 1e9;
         for (TaskView t : seen.view().tasks) {
           if (t.known && t.state != TaskState.EXITED) {
             running.add(
                 new Preemption.Victim(
-                    seen.view().machine, t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram, t.ageS));
+                    seen.view().machine, t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram,
+                    t.ageS + sinceS));
             beyond.merge(t.team, t.cpus, Double::sum);
           }
         }
@@ -1305,6 +1361,7 @@
     List<DemandClass> out = new ArrayList<>();
     Map<String, double[]> left = new HashMap<>();
     Map<List<Object>, DemandClass> arrays = new HashMap<>();
+    teams.values().forEach(Team::countHeld);
     for (Job job : queue()) {
       Team team = teams.get(job.spec.team());
       JobSpec s = job.spec;
--- a/src/main/java/org/sandford/job/RoomBook.java
+++ b/src/main/java/org/sandford/job/RoomBook.java
@@ -141,7 +141,8 @@
     room.keptCpus = view.keptCpus;
     room.keptGpus = view.keptGpus;
     room.keptRam = view.keptRam;
-    Set<Attempt> told = new HashSet<>();
+    Set<Placed> placed = placedAt.getOrDefault(view.machine, Set.of());
+    Set<Attempt> told = placed.isEmpty() ? Set.of() : new HashSet<>();
     for (TaskView t : view.tasks) {
       if (t.state == TaskState.EXITED) {
         continue;
@@ -150,10 +151,12 @@
         return null;
       }
       room.take(t.cpus, t.gpus, t.ram);
-      told.add(Attempt.of(t));
+      if (!placed.isEmpty()) {
+        told.add(Attempt.of(t));
+      }
     }
     // Starts that the machine's owner has not told of yet take room as well.
-    for (Placed p : placedAt.getOrDefault(view.machine, Set.of())) {
+    for (Placed p : placed) {
       if (!told.contains(Attempt.of(p))) {
         JobSpec spec = p.job.spec;
         room.take(spec.cpus(), spec.gpus(), spec.ram());
--- a/src/main/java/org/sandford/job/Team.java
+++ b/src/main/java/org/sandford/job/Team.java
@@ -28,9 +28,11 @@
   final Map<String, Job> jobs = new LinkedHashMap<>();
   /** Owners that refuse older generations of this team from now on. */
   final Set<String> claimed = new HashSet<>();
-  /** Machines whose tasks were told completely after their owner took the claim. */
-  final Set<String> settled = new HashSet<>();
+  /** Machines whose tasks were not told completely yet after their owner took the claim; null before the first look. */
+  Set<String> open;
   private long attempts;
+  private double heldCpus;
+  private double heldGpus;
 
   Team(String name, long generation, Settings.Team limits) {
     this.name = name;
@@ -56,20 +58,31 @@
     return generation * Constants.ATTEMPTS_PER_GENERATION + ++attempts;
   }
 
-  double cpusUsed() {
-    double sum = 0;
+  /**
+   * Counts anew what its tasks hold, once for a whole planning round: counted for each job of the round,
+   * it cost as many steps as there are pairs of jobs.
+   */
+  void countHeld() {
+    heldCpus = 0;
+    heldGpus = 0;
     for (Job job : jobs.values()) {
-      sum += job.holding() * job.spec.cpus();
+      heldCpus += job.holding() * job.spec.cpus();
+      heldGpus += job.holding() * job.spec.gpus();
     }
-    return sum + hidden(limits.cpusMax(), true);
+  }
+
+  /** A task of the job takes room, or with -1 gives it up, since the last count. */
+  void holds(Job job, int more) {
+    heldCpus += more * job.spec.cpus();
+    heldGpus += more * job.spec.gpus();
+  }
+
+  double cpusUsed() {
+    return heldCpus + hidden(limits.cpusMax(), true);
   }
 
   double gpusUsed() {
-    double sum = 0;
-    for (Job job : jobs.values()) {
-      sum += job.holding() * job.spec.gpus();
-    }
-    return sum + hidden(limits.gpusMax(), false);
+    return heldGpus + hidden(limits.gpusMax(), false);
   }
 
   /**
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
@@ -61,7 +60,7 @@
   private final Function<String, Flavor> flavors;
   private final Predicate<String> isFinal;
   private final Roster roster;
-  private final Map<String, Machine> machines = new TreeMap<>();
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Map<String, Long> claims = new HashMap<>();
   private final Map<String, JobSpec> specs = new HashMap<>();
   private final Map<String, Long> announced = new HashMap<>();
@@ -212,7 +211,6 @@
       log.debug("start of {}/{} on {} is refused: {}", ask.job, ask.task, ask.machine, refusal);
     }
     answer.accept(new StartAnswer(ask.job, ask.task, ask.attempt, ask.machine, refusal == null));
-    publish();
   }
 
   private String refusal(StartTask ask) {
@@ -334,8 +332,13 @@
     specs.remove(job);
     for (Machine machine : machines.values()) {
       for (Entry entry : new ArrayList<>(machine.entries.values())) {
-        if (entry.key.task().job().equals(job) && entry.onMachine()) {
+        if (!entry.key.task().job().equals(job)) {
+          continue;
+        }
+        if (entry.onMachine()) {
           stop(machine.name, entry.key.task(), entry.key.attempt(), 0);
+        } else {
+          entry.clear = true;
         }
       }
     }
@@ -376,6 +379,7 @@
     }
     long now = loop.nanos();
     machine.answeredAt = now;
+    machine.voidStartsToClear(now, settings.facts().leaseS() / 2);
     ObjectNode answer = Json.object().put("fence", machine.token());
     boolean startsToo =
         machine.directFailures > 1 && machine.state() == MachineState.UP && share.holdValid();
@@ -413,27 +417,31 @@
 
   private void take(Machine machine, WorkerReport said, boolean report) {
     long now = loop.nanos();
-    machine.absorb(said, report, now);
+    boolean changed = machine.absorb(said, report, now);
     boolean notice = !Double.isNaN(machine.noticeS);
     if (machine.place.seen() && machine.mine() && !machine.superseded()) {
       MachineState next = notice ? MachineState.DRAINING : MachineState.UP;
-      boolean settled = machine.seenToken == machine.token();
-      machine.becomes(
+      boolean settled = machine.tokenSettled();
+      changed |= machine.becomes(
           settled ? next : MachineState.SYNCING,
           settled && notice ? "the cloud takes it back" : "its worker answers");
     } else if (machine.state() == MachineState.LOST) {
-      machine.becomes(MachineState.SYNCING, "it is heard again");
+      changed |= machine.becomes(MachineState.SYNCING, "it is heard again");
+    }
+    changed |= describe(machine);
+    clearEnded(machine);
+    if (changed) {
+      mark(machine);
     }
-    describe(machine);
-    mark(machine);
     if (machine.wantsDirect()) {
       loop.execute(() -> command(machine));
     }
   }
 
-  /** Fills in what is known of tasks that came with a report, and looks up the rest. */
-  private void describe(Machine machine) {
+  /** Fills in what is known of tasks that came with a report, and looks up the rest; true when it filled in any. */
+  private boolean describe(Machine machine) {
     boolean missing = false;
+    boolean filled = false;
     for (Entry entry : machine.entries.values()) {
       if (entry.known) {
         continue;
@@ -443,11 +451,13 @@
         missing = true;
       } else {
         describe(machine, entry, spec);
+        filled = true;
       }
     }
     if (missing) {
       learn();
     }
+    return filled;
   }
 
   private static void describe(Machine machine, Entry entry, JobSpec spec) {
@@ -463,6 +473,15 @@
     }
   }
 
+  /** What exited of a job whose end is stored is cleared here: its team's owner may have forgotten the job by now. */
+  private void clearEnded(Machine machine) {
+    for (Entry entry : machine.entries.values()) {
+      if (entry.state == TaskState.EXITED && !entry.clear) {
+        entry.clear = isFinal.test(entry.key.task().job());
+      }
+    }
+  }
+
   private void learn() {
     if (learning) {
       return;
@@ -494,7 +513,11 @@
               mark(machine);
             }
           }
-          machines.values().forEach(this::describe);
+          machines.values().forEach(machine -> {
+            if (describe(machine)) {
+              mark(machine);
+            }
+          });
         });
   }
 
@@ -566,7 +589,9 @@
       }
     }
     hear(machine, reply);
-    mark(machine);
+    if (!reply.ok()) {
+      mark(machine);
+    }
     command(machine);
   }
 
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -61,6 +61,8 @@
     String image = "";
     long since;
     long sentSerial;
+    /** The token under which its start went straight to the worker; a repeat of that call carries it too. */
+    long startToken = -1;
     long awaitToken;
     int stopGrace = -1;
     long stopSentAt;
@@ -81,6 +83,9 @@
   final long assignedAt;
   private MachineState state;
   private long step;
+  /** The token that the worker must have seen before the machine counts as settled. */
+  private long wantedToken;
+  private long clearsRaisedAt = Long.MIN_VALUE / 2;
   long tenure;
   long serial;
   long seenToken;
@@ -97,6 +102,7 @@
   boolean leaseOver;
   final Map<Key, Entry> entries = new LinkedHashMap<>();
   final Set<String> images = new LinkedHashSet<>();
+  private int imageChanges;
   private Preempt kept;
   private long keptUntil;
   private final Set<String> failedJobs = new HashSet<>();
@@ -107,6 +113,7 @@
     this.assignedAt = now;
     this.heardAt = now;
     this.state = place.seen() ? MachineState.SYNCING : MachineState.WAITING;
+    this.wantedToken = token();
   }
 
   MachineState state() {
@@ -129,10 +136,34 @@
   }
 
   /** Makes every command sent so far void once the worker has seen the new token. */
-  void raiseToken() {
+  private void raiseToken() {
     step++;
   }
 
+  /** The worker has seen the token that voids what may still be under way. */
+  boolean tokenSettled() {
+    return seenToken >= wantedToken;
+  }
+
+  /**
+   * Raises the token when tasks wait to be cleared whose start may come once more. A call that was
+   * carried out can be repeated minutes later; after a clear the worker would not know the attempt and
+   * run it again, beside its successor or after its job was cancelled. The raised token may go with the
+   * clear: the worker takes in both or neither. No direct call may be under way, since it would be refused.
+   */
+  void voidStartsToClear(long now, double pauseS) {
+    if (busyDirect || (now - clearsRaisedAt) / 1e9 < pauseS) {
+      return;
+    }
+    for (Entry entry : entries.values()) {
+      if (entry.clear && entry.state == TaskState.EXITED && entry.startToken >= token()) {
+        clearsRaisedAt = now;
+        raiseToken();
+        return;
+      }
+    }
+  }
+
   /** The worker has seen a token of this generation, so no former owner's command counts any more. */
   boolean mine() {
     return seenToken >= place.generation() * Constants.TOKENS_PER_GENERATION;
@@ -225,8 +256,15 @@
     return report.tenure() < tenure || (report.tenure() == tenure && report.serial() <= serial);
   }
 
-  /** Takes in a newer message of the worker; {@code report} tells reports from answers to commands. */
-  void absorb(WorkerReport said, boolean report, long now) {
+  /**
+   * Takes in a newer message of the worker; {@code report} tells reports from answers to commands.
+   * False when it tells nothing that a view would: most reports of a large fleet are such.
+   */
+  boolean absorb(WorkerReport said, boolean report, long now) {
+    boolean wasSettled = settled();
+    boolean wasFaulty = faulty;
+    int wereImages = imageChanges;
+    boolean changed = false;
     boolean newTenure = said.tenure() > tenure;
     tenure = said.tenure();
     serial = said.serial();
@@ -241,8 +279,14 @@
     for (WorkerReport.Held held : said.tasks()) {
       Key key = new Key(held.key(), held.attempt());
       seen.add(key);
-      Entry entry = entries.computeIfAbsent(key, k -> new Entry(k, now));
+      Entry entry = entries.get(key);
+      if (entry == null) {
+        entry = new Entry(key, now);
+        entries.put(key, entry);
+        changed = true;
+      }
       entry.start = Start.SEEN;
+      changed |= entry.state != held.state() || entry.cause != held.cause();
       if (entry.state != held.state()) {
         if (held.state() == TaskState.RUNNING) {
           entry.since = now;
@@ -259,8 +303,10 @@
       Entry entry = it.next();
       if (!seen.contains(entry.key) && settledAbsent(entry, said, report, newTenure)) {
         it.remove();
+        changed = true;
       }
     }
+    return changed || settled() != wasSettled || faulty != wasFaulty || imageChanges != wereImages;
   }
 
   /**
@@ -292,8 +338,9 @@
 
   void remember(String image) {
     if (!image.isEmpty()) {
-      images.remove(image);
+      boolean known = images.remove(image);
       images.add(image);
+      imageChanges += known ? 0 : 1;
       if (images.size() > Constants.IMAGES_REMEMBERED) {
         images.remove(images.iterator().next());
       }
@@ -313,6 +360,7 @@
       if (startsToo && entry.start == Start.QUEUED && entry.stopGrace < 0) {
         orders.add(order("start", entry));
         entry.start = direct ? Start.SENT : Start.REPORTED;
+        entry.startToken = direct ? token() : -1;
         entry.sentSerial = serial;
       } else if (entry.stopGrace >= 0 && entry.onMachine() && entry.start != Start.QUEUED) {
         boolean again = entry.state != TaskState.SAVING || entry.stopGrace == 0;
@@ -321,7 +369,7 @@
           orders.add(order("stop", entry).put("wind_down_s", entry.stopGrace));
           entry.stopSentAt = now;
         }
-      } else if (entry.clear && entry.state == TaskState.EXITED) {
+      } else if (entry.clear && entry.state == TaskState.EXITED && entry.startToken < token()) {
         orders.add(order("clear", entry));
       }
     }
@@ -350,6 +398,7 @@
   /** Starts of a batch whose outcome is unknown stay pinned until the raised token is seen. */
   void pin(List<Entry> batch) {
     raiseToken();
+    wantedToken = token();
     for (Entry entry : batch) {
       if (entry.start == Start.SENT) {
         entry.start = Start.PINNED;
--- a/src/main/java/org/sandford/machine/Roster.java
+++ b/src/main/java/org/sandford/machine/Roster.java
@@ -2,8 +2,9 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.TreeMap;
+import org.sandford.core.Loop;
 import org.sandford.peer.wire.MachineView;
 import org.sandford.peer.wire.Views;
 import org.sandford.share.AssignmentMap.MachineOwner;
@@ -11,14 +12,16 @@
 
 /** What the owners of all shares last said of their machines. */
 public final class Roster {
-  /** A view with the label of the controller that gave it. */
-  public record Seen(String owner, MachineView view) {}
+  /** A view with the label of the controller that gave it, and the time when it did, on the steady clock. */
+  public record Seen(String owner, MachineView view, long at) {}
 
+  private final Loop loop;
   private final Share share;
-  private final Map<String, Seen> seen = new TreeMap<>();
+  private final Map<String, Seen> seen = new LinkedHashMap<>();
   private final Map<String, Boolean> holds = new HashMap<>();
 
-  public Roster(Share share) {
+  public Roster(Loop loop, Share share) {
+    this.loop = loop;
     this.share = share;
   }
 
@@ -31,7 +34,7 @@
     views.gone.forEach(name -> seen.computeIfPresent(name, (n, s) -> s.owner.equals(from) ? null : s));
     for (MachineView view : views.machines) {
       if (fresh(view)) {
-        seen.put(view.machine, new Seen(from, view));
+        seen.put(view.machine, new Seen(from, view, loop.nanos()));
       }
     }
   }
--- a/src/main/java/org/sandford/net/NettyHttpServer.java
+++ b/src/main/java/org/sandford/net/NettyHttpServer.java
@@ -22,6 +22,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.sandford.Constants;
 import org.sandford.core.Answer;
@@ -29,7 +31,13 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Takes users', workers' and health requests and hands each to one function that answers later. */
+/**
+ * Takes users', workers' and health requests and hands each to one function that answers later.
+ *
+ * <p>Sockets are few and workers many: one controller that is left alone gets the reports of a whole
+ * fleet. So workers keep only their part of the connections; what exceeds it is answered and then closed.
+ * When all are taken, the one that was idle the longest makes way, a worker's before a user's.
+ */
 public final class NettyHttpServer {
   /** Answers a request by calling back once. */
   public interface Requests {
@@ -40,11 +48,17 @@
   private final NettyLoop loop;
   private final Requests requests;
   private final int most;
-  private int open;
+  private final int mostOfWorkers;
+  private final Set<Connection> all = new LinkedHashSet<>();
+  /** Those without a request under way, the one that was idle the longest first. */
+  private final Set<Connection> idleWorkers = new LinkedHashSet<>();
+  private final Set<Connection> idleUsers = new LinkedHashSet<>();
+  private int workers;
 
   public NettyHttpServer(NettyLoop loop, int most, Requests requests) {
     this.loop = loop;
     this.most = most;
+    this.mostOfWorkers = (int) (most * Constants.SOCKETS_OF_WORKERS);
     this.requests = requests;
   }
 
@@ -53,14 +67,14 @@
         new ServerBootstrap()
             .group(loop.group())
             .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 256)
+            .option(ChannelOption.SO_BACKLOG, Constants.BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
                   protected void initChannel(Channel channel) {
-                    if (open >= most) {
+                    if (all.size() >= most + Constants.SOCKETS_OVERDRAWN) {
                       channel.close();
                       return;
                     }
@@ -103,15 +117,56 @@
     }
   }
 
+  private void makeRoom() {
+    Set<Connection> from = idleWorkers.isEmpty() ? idleUsers : idleWorkers;
+    if (!from.isEmpty()) {
+      Connection oldest = from.iterator().next();
+      from.remove(oldest);
+      oldest.channel.close();
+    }
+  }
+
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private Channel channel;
+    private boolean ofWorker;
+    private boolean last;
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-      open++;
+      channel = ctx.channel();
+      if (all.size() >= most) {
+        makeRoom();
+        // It is answered in any case, but not kept.
+        last = true;
+      }
+      all.add(this);
+      idleUsers.add(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      open--;
+      all.remove(this);
+      idleUsers.remove(this);
+      idleWorkers.remove(this);
+      workers -= ofWorker ? 1 : 0;
+    }
+
+    private void begins(boolean report) {
+      idleUsers.remove(this);
+      idleWorkers.remove(this);
+      if (report != ofWorker) {
+        ofWorker = report;
+        workers += report ? 1 : -1;
+      }
+    }
+
+    /** Whether the connection stays open after an answer. */
+    private boolean stays() {
+      if (last || (ofWorker && workers > mostOfWorkers)) {
+        return false;
+      }
+      (ofWorker ? idleWorkers : idleUsers).add(this);
+      return true;
     }
 
     @Override
@@ -121,12 +176,17 @@
         write(ctx, Answer.refuse(400, "the request is not HTTP"), false);
         return;
       }
+      begins(request.uri().startsWith(Constants.REPORTS_PATH));
       byte[] body = ByteBufUtil.getBytes(request.content());
       requests.take(
           request.method().name(), request.uri(), body, answer -> write(ctx, answer, keep));
     }
 
-    private void write(ChannelHandlerContext ctx, Answer answer, boolean keep) {
+    private void write(ChannelHandlerContext ctx, Answer answer, boolean wanted) {
+      if (!channel.isActive()) {
+        return;
+      }
+      boolean keep = wanted && stays();
       FullHttpResponse response = response(answer);
       if (!keep) {
         response.headers().set(HttpHeaderNames.CONNECTION, "close");
--- a/src/main/java/org/sandford/net/NettyPeers.java
+++ b/src/main/java/org/sandford/net/NettyPeers.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.InetSocketAddress;
 import java.util.function.Supplier;
 import org.sandford.Constants;
@@ -75,6 +76,8 @@
         channel
             .pipeline()
             .addLast(
+                // What is written in one go leaves as one packet: each packet wakes the other side once.
+                new FlushConsolidationHandler(Constants.PEER_FLUSHES_TOGETHER, true),
                 new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_BYTES, 0, 4, 0, 4),
                 new LengthFieldPrepender(4),
                 new Frames(handlers.get()));
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
 import org.sandford.Constants;
@@ -108,12 +110,72 @@
     List<Slot> slots = new ArrayList<>();
     Set<String> machines = new HashSet<>(need.machinesHeld());
     double[] score = {0};
-    int left = fill(need, count, own, zones, machines, taken, slots, score);
-    left = fill(need, left, others, zones, machines, taken, slots, score);
+    int left = count;
+    for (List<Room> candidates : List.of(own, others)) {
+      left =
+          need.standing() || need.scatter()
+              ? spread(need, left, candidates, zones, machines, taken, slots, score)
+              : pack(need, left, candidates, zones, machines, slots, score);
+    }
     return new Plan(slots, score[0], count - left);
   }
 
-  private int fill(
+  /**
+   * Tasks without a spreading rule: a chosen machine takes all that it holds, so each candidate is
+   * chosen once at the most. The others' scores change only when the plan gets its first machine or a
+   * new zone, and only then are they counted anew; a large array on a large fleet would otherwise cost
+   * as many scores as there are pairs of slots and machines.
+   */
+  private int pack(
+      Need need,
+      int count,
+      List<Room> candidates,
+      Map<String, Integer> zones,
+      Set<String> machines,
+      List<Slot> slots,
+      double[] score) {
+    int left = count;
+    List<Room> rest = candidates;
+    while (left > 0 && !rest.isEmpty()) {
+      List<Scored> ranked = new ArrayList<>(rest.size());
+      for (Room room : rest) {
+        scored++;
+        ranked.add(new Scored(room, score(need, room, zones, machines, 0), ranked.size()));
+      }
+      PriorityQueue<Scored> queue = new PriorityQueue<>(ranked);
+      boolean holds = true;
+      while (left > 0 && holds && !queue.isEmpty()) {
+        Scored best = queue.poll();
+        Room room = best.room;
+        int tasks = Math.min(left, need.fitting(room));
+        slots.add(new Slot(room, tasks));
+        score[0] += best.score;
+        // The scores of the rest hold as long as neither of what they lean on changes.
+        boolean first = machines.isEmpty();
+        boolean newZone = zones.getOrDefault(room.zone, 0) == 0;
+        holds = !first && !newZone;
+        zones.merge(room.zone, tasks, Integer::sum);
+        machines.add(room.machine);
+        left -= tasks;
+      }
+      List<Scored> remaining = new ArrayList<>(queue);
+      remaining.sort(Comparator.comparingInt(Scored::order));
+      rest = remaining.stream().map(Scored::room).toList();
+    }
+    return left;
+  }
+
+  /** A candidate with its score; of equals the earlier goes first. */
+  private record Scored(Room room, double score, int order) implements Comparable<Scored> {
+    @Override
+    public int compareTo(Scored other) {
+      int byScore = Double.compare(score, other.score);
+      return byScore != 0 ? byScore : Integer.compare(order, other.order);
+    }
+  }
+
+  /** Tasks that spread over zones: each is scored against all candidates. */
+  private int spread(
       Need need,
       int count,
       List<Room> candidates,
--- a/src/main/java/org/sandford/share/AssignmentMap.java
+++ b/src/main/java/org/sandford/share/AssignmentMap.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -146,7 +147,7 @@
       Map<Integer, Part> next = new TreeMap<>(parts);
       newer.forEach(
           (number, part) -> next.merge(number, part, (old, now) -> now.revision > old.revision ? now : old));
-      Map<String, MachineOwner> all = new TreeMap<>();
+      Map<String, MachineOwner> all = new LinkedHashMap<>();
       next.values().forEach(part -> all.putAll(part.of));
       boolean headNewer = headRevision > revision;
       return new Machines(
--- /dev/null
+++ b/src/test/java/org/sandford/net/NettyHttpServerTest.java
@@ -0,0 +1,109 @@
+package org.sandford.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.sandford.core.Answer;
+import org.sandford.core.Json;
+
+/** Workers and users share few sockets, and neither starves the other. */
+class NettyHttpServerTest {
+  private static final int MOST = 8;
+  private static final int PATIENCE_MS = 60_000;
+  private final NettyLoop loop = new NettyLoop();
+  private final List<Client> clients = new ArrayList<>();
+  private int port;
+
+  /** One connection, kept open as long as the server lets it. */
+  private static final class Client {
+    private final Socket socket;
+    private final BufferedReader in;
+
+    Client(int port) throws IOException {
+      socket = new Socket("127.0.0.1", port);
+      socket.setSoTimeout(PATIENCE_MS);
+      in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    }
+
+    /** Sends a request and returns whether the server keeps the connection. */
+    boolean ask(String path) throws IOException {
+      socket
+          .getOutputStream()
+          .write(("GET " + path + " HTTP/1.1\r\nhost: a\r\ncontent-length: 0\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+      assertEquals("HTTP/1.1 200 OK", in.readLine());
+      boolean keep = true;
+      int length = 0;
+      for (String line = in.readLine(); !line.isEmpty(); line = in.readLine()) {
+        keep &= !line.equals("connection: close");
+        length = line.startsWith("content-length: ") ? Integer.parseInt(line.substring(16)) : length;
+      }
+      for (int i = 0; i < length; i++) {
+        in.read();
+      }
+      return keep;
+    }
+
+    boolean closedByServer() throws IOException {
+      return in.read() < 0;
+    }
+  }
+
+  @BeforeEach
+  void listen() throws Exception {
+    try (ServerSocket free = new ServerSocket(0)) {
+      port = free.getLocalPort();
+    }
+    new NettyHttpServer(loop, MOST, (method, path, body, answer) -> answer.accept(Answer.of(200, Json.object())))
+        .listen("127.0.0.1", port);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    for (Client client : clients) {
+      client.socket.close();
+    }
+    loop.shutdown();
+  }
+
+  private Client client() throws IOException {
+    Client client = new Client(port);
+    clients.add(client);
+    return client;
+  }
+
+  @Test
+  void workersBeyondTheirPartAreAnsweredAndClosed() throws IOException {
+    for (int i = 0; i < 6; i++) {
+      assertTrue(client().ask("/hello"), "worker " + i + " fits");
+    }
+    assertFalse(client().ask("/hello"), "a seventh of eight is answered and closed");
+    assertTrue(client().ask("/up"), "users have room left");
+  }
+
+  @Test
+  void theWorkerThatWasIdleTheLongestMakesWay() throws IOException {
+    Client user = client();
+    assertTrue(user.ask("/work/wk-1"));
+    Client oldest = client();
+    assertTrue(oldest.ask("/hello"));
+    for (int i = 0; i < 5; i++) {
+      assertTrue(client().ask("/hello"));
+    }
+    assertTrue(client().ask("/up"));
+    assertFalse(client().ask("/work/wk-2"), "one too many is answered and not kept");
+    assertTrue(oldest.closedByServer(), "the oldest idle worker was closed for it");
+    assertTrue(user.ask("/work/wk-1"), "the user's own was not");
+  }
+}
--- a/src/test/java/org/sandford/scenario/World.java
+++ b/src/test/java/org/sandford/scenario/World.java
@@ -35,6 +35,8 @@
   boolean lateReports;
   /** Whether late copies of requests follow now and then, which also puts them out of order. */
   boolean duplicates;
+  /** Milliseconds by which such a copy is late at the most. */
+  int duplicatesLateMs = 2_000;
   final Random random;
   final List<String> broken = new ArrayList<>();
   private final PriorityQueue<Event> queue = new PriorityQueue<>();
