--- a/src/test/java/org/sandford/scenario/RulesTest.java
+++ b/src/test/java/org/sandford/scenario/RulesTest.java
@@ -23,7 +23,7 @@
 
   private WorkerStandIn machine(String zone, boolean spot) {
     CloudStandIn.Rented rented = scenario.cloud.rent(zone, spot, 0);
-    rented.worker = scenario.boot(rented);
+    world.runUntil(world.seconds());
     return rented.worker;
   }
 
