--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -113,7 +113,7 @@
 
   public void start() {
     loop.every(Constants.PLAN_IDLE_MS, this::planSoon);
-    loop.every(Constants.ADDED_LOOK_MS, () -> Map.copyOf(share.added()).forEach(this::takeAdded));
+    loop.every(Constants.ADDED_LOOK_MS, this::takeAllAdded);
     loop.every(Constants.AUDIT_MS, this::audit);
   }
 
@@ -242,7 +242,7 @@
           for (Team team : teams.values()) {
             team.jobs.values().forEach(this::tend);
           }
-          Map.copyOf(share.added()).forEach(this::takeAdded);
+          takeAllAdded();
           settleAnew();
           planSoon();
         });
@@ -795,6 +795,10 @@
             }));
   }
 
+  private void takeAllAdded() {
+    Map.copyOf(share.added()).forEach((id, told) -> takeAdded(id, told.team()));
+  }
+
   /** Takes up a job that another controller stored for a team of ours, and clears the key that told of it. */
   public void takeAdded(String id, String teamName) {
     Team team = teams.get(teamName);
@@ -845,9 +849,16 @@
                 }));
   }
 
+  /** Removes the key that told of the job, as it was seen: carried out late, the removal finds another or none. */
   private void clearAdded(String id) {
+    Share.Added told = share.added().get(id);
+    if (told == null) {
+      return;
+    }
+    String key = Share.addedKey(id);
     writer.write(
-        new RecordWriter.Write(Map.of(), List.of(Op.remove(Share.addedKey(id))), RecordWriter.Kind.PROGRESS, result -> {}));
+        new RecordWriter.Write(
+            Map.of(key, told.revision()), List.of(Op.remove(key)), RecordWriter.Kind.PROGRESS, result -> {}));
   }
 
   public static ObjectNode finalStatus(String id, String state) {
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -76,6 +76,9 @@
     void finalsMissed();
   }
 
+  /** A job's team, and the revision of the key that tells of the job. */
+  public record Added(String team, long revision) {}
+
   /** A machine that the leader adds to the map. */
   public record NewMachine(String name, String address, String kind, String zone, boolean spot) {}
 
@@ -103,7 +106,7 @@
   private long finalsReadAt = Long.MAX_VALUE / 2;
 
   private final Map<String, String> members = new TreeMap<>();
-  private final Map<String, String> added = new TreeMap<>();
+  private final Map<String, Added> added = new TreeMap<>();
   private Teams teams = Teams.NONE;
   private Machines machines = Machines.NONE;
   private String leader = "";
@@ -205,8 +208,8 @@
     return machines.revision();
   }
 
-  /** Jobs that were stored for their team's owner and not taken up yet, with their teams. */
-  public Map<String, String> added() {
+  /** Jobs that were stored for their team's owner and not taken up yet. */
+  public Map<String, Added> added() {
     return added;
   }
 
@@ -509,8 +512,9 @@
       if (entry.value() == null) {
         added.remove(job);
       } else {
-        added.put(job, entry.value().path("t").asText());
-        listener.jobAdded(job, added.get(job));
+        Added told = new Added(entry.value().path("t").asText(), entry.revision());
+        added.put(job, told);
+        listener.jobAdded(job, told.team());
       }
     } else if (key.equals(TEAMS) && entry.value() != null) {
       takeTeams(Teams.read(entry.value(), entry.revision()));
