--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -280,6 +280,11 @@
   /** Seconds after which a job that waits for room for all its tasks has free room kept for it. */
   public static final double GATHER_AFTER_S = 40.0;
 
+  /**
+   * Seconds after which it is started in parts, with the room that there is: users allow a job 90 s beside a machine
+   * that has room, of which the next looks and a machine's boot take some.
+   */
+  public static final double PARTS_AFTER_S = 60.0;
   /** Milliseconds between two askings for that: less than room is kept. */
   public static final int GATHER_MS = 1_800;
 
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -1167,7 +1167,9 @@
       int count = Math.min(job.waitingCount, allowed);
       // What the team's limit does not allow now is planned in parts: a whole job that waits for the
       // limit is starved by the parts of larger ones, which take each place as it falls free.
-      boolean whole = !job.started && count == job.waitingCount;
+      // Nor is a job left waiting for ever for room that a small fleet never has at once.
+      double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
+      boolean whole = !job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S;
       if (count == 0) {
         job.waitsBecause(new WaitReason.TeamLimit(team.name, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
         continue;
@@ -1178,8 +1180,7 @@
         if (stoppable != null) {
           preempt(team, job, count, free, whole, stoppable);
         }
-        boolean waitedLong = (loop.nanos() - job.waitingSince) / 1e9 > Constants.GATHER_AFTER_S;
-        if (whole && count > 1 && waitedLong && plannedAt >= gatherAgainAt) {
+        if (whole && count > 1 && waitedS > Constants.GATHER_AFTER_S && plannedAt >= gatherAgainAt) {
           gatherAgainAt = plannedAt + Constants.GATHER_MS;
           gather(team, job, count, free);
         }
--- a/src/test/java/org/sandford/scenario/Rules.java
+++ b/src/test/java/org/sandford/scenario/Rules.java
@@ -129,6 +129,7 @@
         scenario.submitted.values().stream()
             .filter(job -> told.containsKey(job.id) && !job.abortAsked && !job.fails)
             .filter(job -> world.now() - job.since > graceS * 1e9)
+            .filter(this::withinLimit)
             .toList();
     counted.forEach(job -> largest.merge(job.jobClass, job.tasks, Math::max));
     for (Scenario.Submitted job : counted) {
@@ -151,6 +152,16 @@
         });
   }
 
+  /** Whether the services of its team leave room for one of its tasks; otherwise nobody could serve it. */
+  private boolean withinLimit(Scenario.Submitted job) {
+    double services =
+        scenario.submitted.values().stream()
+            .filter(other -> other != job && other.standing && !other.abortAsked && other.team.equals(job.team))
+            .mapToDouble(other -> other.tasks * other.cpus)
+            .sum();
+    return services + job.cpus <= scenario.teamMax.get(job.team);
+  }
+
   /** Checked on the answer to a submission that is no valid job, or one that can never run. */
   void answeredOdd(String what, int status, int wanted) {
     if (status != wanted && status != 503 && status != 429 && status != 0) {
