--- a/src/test/java/org/sandford/machine/MachineTest.java
+++ b/src/test/java/org/sandford/machine/MachineTest.java
@@ -1,5 +1,6 @@
 package org.sandford.machine;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -8,7 +9,9 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.sandford.Constants;
+import org.sandford.peer.wire.ExitCause;
 import org.sandford.peer.wire.StartTask;
+import org.sandford.peer.wire.TaskState;
 import org.sandford.share.AssignmentMap.MachineOwner;
 
 /** What may be concluded from a worker's messages while a start is under way. */
@@ -78,4 +81,44 @@
     machine.absorb(said(1, 0), true, 1);
     assertTrue(machine.stale(old));
   }
+
+  private WorkerReport holds(long token, TaskState state) {
+    var held = new WorkerReport.Held(TASK, 7, state, ExitCause.NONE, false);
+    return new WorkerReport("n-1", "n-1:90", "m8", "a", false, 1, ++serial, token, Double.NaN, List.of(held));
+  }
+
+  @Test
+  void aStopGoesWithTheAnswerThatFirstShowsTheNewTokenAndNothingElseDoes() {
+    machine.absorb(holds(0, TaskState.RUNNING), true, 1);
+    machine.accept(new StartTask("red", 1L, "n-1", 3L, "wk-2", 0, 8L, 1, 0L, 1.0, 0.0, 1.0, "img"), 2);
+    machine.find(TASK, 7).stopGrace = 0;
+    assertFalse(machine.mine());
+    var orders = machine.orders(false, true, 3);
+    assertEquals(1, orders.size());
+    assertEquals("stop", orders.get(0).path("verb").asText());
+  }
+
+  @Test
+  void aStopIsRepeatedByCommandUntilTheTaskIsSeenToHaveEnded() {
+    machine.absorb(holds(machine.token(), TaskState.RUNNING), true, 1);
+    machine.find(TASK, 7).stopGrace = 0;
+    long now = 1_000_000_000L;
+    assertTrue(machine.wantsDirect(false, now));
+    assertEquals(1, machine.orders(true, false, now).size());
+    assertFalse(machine.wantsDirect(false, now + 1));
+    long later = now + (Constants.COMMAND_CALL_MS + 1) * 1_000_000L;
+    assertTrue(machine.wantsDirect(false, later));
+    assertEquals(1, machine.orders(true, false, later).size());
+    machine.absorb(holds(machine.token(), TaskState.EXITED), false, later + 1);
+    assertFalse(machine.wantsDirect(false, 2 * later));
+  }
+
+  @Test
+  void aTaskThatSavesIsLeftToItUnlessItsJobIsOver() {
+    machine.absorb(holds(machine.token(), TaskState.SAVING), true, 1);
+    machine.find(TASK, 7).stopGrace = 10;
+    assertTrue(machine.orders(false, true, 2).isEmpty());
+    machine.find(TASK, 7).stopGrace = 0;
+    assertEquals(1, machine.orders(false, true, 3).size());
+  }
 }
