--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -219,6 +219,7 @@
   private void load() {
     store.openJobs(
         open -> {
+          Set<String> adopted = new HashSet<>();
           for (Team team : teams.values()) {
             if (team.phase() != Team.Phase.LOADING) {
               continue;
@@ -233,12 +234,13 @@
                     job.revision = entry.revision();
                     job.inherit(TaskRanges.read(entry.value().path("d")));
                     adopt(team, job);
+                    adopted.add(id);
                   }
                 });
             team.becomes(Team.Phase.SETTLING);
             log.info("team {}: {} open jobs", team.name, team.jobs.size());
           }
-          roster.all().forEach(seen -> takeView(seen.owner(), seen.view()));
+          findTasks(adopted);
           for (Team team : teams.values()) {
             team.jobs.values().forEach(this::tend);
           }
@@ -735,22 +737,24 @@
       job.revision = found.revision();
       job.inherit(TaskRanges.read(found.record().path("d")));
       adopt(team, job);
-      findTasks(job);
+      findTasks(Set.of(job.spec.id()));
       planSoon();
     }
   }
 
   /**
-   * Takes in what the machines hold of a job that was not known when they told of it; a former owner may have
-   * started its tasks, and what does not change is not told again at once.
+   * Takes in what the machines hold of jobs that were not known when they told of it; a former owner may have
+   * started their tasks, and what does not change is not told again at once. Of other jobs nothing is taken from
+   * views that were kept: a start that was answered since stands in the next view only, and its task, which such a
+   * view lacks, counted as lost when its owner took over another team, and ran twice.
    */
-  private void findTasks(Job job) {
+  private void findTasks(Set<String> found) {
     for (Roster.Seen seen : List.copyOf(roster.all())) {
       MachineView view = seen.view();
       if (counts(view)) {
         view.tasks.stream()
-            .filter(task -> task.job.equals(job.spec.id()))
-            .forEach(task -> takeTask(seen.owner(), view, job, task));
+            .filter(task -> found.contains(task.job) && jobs.containsKey(task.job))
+            .forEach(task -> takeTask(seen.owner(), view, jobs.get(task.job), task));
       }
     }
   }
