--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -280,13 +280,14 @@
   /** Seconds after which a job that waits for room for all its tasks has free room kept for it. */
   public static final double GATHER_AFTER_S = 40.0;
 
+  /** Milliseconds between two askings for that: less than room is kept. */
+  public static final int GATHER_MS = 1_800;
+
   /**
-   * Seconds after which it is started in parts, with the room that there is: users allow a job 90 s beside a machine
+   * Seconds after which a job that waits is started in parts, with the room that there is: users allow a job 90 s beside a machine
    * that has room, of which the next looks and a machine's boot take some.
    */
   public static final double PARTS_AFTER_S = 60.0;
-  /** Milliseconds between two askings for that: less than room is kept. */
-  public static final int GATHER_MS = 1_800;
 
   /** Seconds a stopped task gets to save; one that never saves ends at once. */
   public static final int PREEMPT_GRACE_S = 10;
--- a/src/main/java/org/sandford/cancel/Cancellations.java
+++ b/src/main/java/org/sandford/cancel/Cancellations.java
@@ -1,11 +1,11 @@
 package org.sandford.cancel;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.sandford.Constants;
 import org.sandford.core.Loop;
 import org.sandford.peer.wire.CancellationsAsked;
@@ -70,7 +70,7 @@
   private final Settings settings;
   private final Peers peers;
   private final Store store;
-  private final java.util.function.Supplier<String> life;
+  private final Supplier<String> life;
   private final Map<String, Chain> chains = new LinkedHashMap<>();
   /** What this controller has told users, in that order, the last of it with number {@link #logged}. */
   private final Set<String> log = new LinkedHashSet<>();
@@ -79,7 +79,7 @@
   private Listener listener;
 
   public Cancellations(
-      Loop loop, Settings settings, Peers peers, Store store, java.util.function.Supplier<String> life) {
+      Loop loop, Settings settings, Peers peers, Store store, Supplier<String> life) {
     this.loop = loop;
     this.settings = settings;
     this.peers = peers;
@@ -155,8 +155,9 @@
     }
     long first = logged - log.size();
     long since = mine.equals(ask.life) ? Math.max(ask.seen, first) : first;
-    List<String> jobs = new ArrayList<>(log).subList((int) (since - first), log.size());
-    return new CancellationsTold(ask.at, mine, since, logged, new ArrayList<>(jobs), store.machinesRevision());
+    // Nearly always nothing is lacking, and each controller asks with every beat.
+    List<String> jobs = since == logged ? List.of() : log.stream().skip(since - first).toList();
+    return new CancellationsTold(ask.at, mine, since, logged, jobs, store.machinesRevision());
   }
 
   public void told(String from, CancellationsTold answer) {
