--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -126,6 +126,13 @@
   /** Bytes queued for a peer that does not read, after which the link is closed. */
   public static final int PEER_BACKLOG_BYTES = 2 * 1024 * 1024;
 
+  // --- cancellations --------------------------------------------------------------------------------
+
+  /** Cancellations told to users that are kept for other controllers to read: many minutes' worth. */
+  public static final int CANCELLATIONS_KEPT = 4_096;
+  /** Seconds for which the end of a job is surely remembered: longer than any of its tasks can go on. */
+  public static final double ENDS_REMEMBERED_S = 300.0;
+
   // --- users ------------------------------------------------------------------------------------------
 
   /** Bytes of a request body, the protocol's most. */
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.sandford.Constants;
+import org.sandford.cancel.Cancellations;
 import org.sandford.capacity.Capacity;
 import org.sandford.core.Answer;
 import org.sandford.core.Json;
@@ -44,6 +45,7 @@
   private final Finals finals;
   private final Lookup lookup;
   private final Capacity capacity;
+  private final Cancellations cancellations;
   private final Map<Long, Forwarded> forwarded = new HashMap<>();
   private final Histogram submitMillis = new Histogram(60_000, 2);
   private long calls;
@@ -57,7 +59,8 @@
       Fleet fleet,
       Finals finals,
       Lookup lookup,
-      Capacity capacity) {
+      Capacity capacity,
+      Cancellations cancellations) {
     this.loop = loop;
     this.settings = settings;
     this.share = share;
@@ -67,6 +70,7 @@
     this.finals = finals;
     this.lookup = lookup;
     this.capacity = capacity;
+    this.cancellations = cancellations;
   }
 
   /** Times from a submission's arrival here to its answer, in milliseconds. */
@@ -83,7 +87,7 @@
     } else if (path.equals("/up")) {
       only("GET", method, answer, () -> answer.accept(up()));
     } else if (path.equals("/work")) {
-      only("POST", method, answer, () -> submit(body, timed(answer)));
+      only("POST", method, answer, () -> submit(body, told(timed(answer))));
     } else if (path.startsWith("/work/")) {
       String rest = path.substring("/work/".length());
       boolean abort = rest.endsWith("/abort");
@@ -91,9 +95,9 @@
       if (!JobParser.isId(id)) {
         answer.accept(Answer.refuse(404, "no job has this id"));
       } else if (abort) {
-        only("POST", method, answer, () -> abort(id, answer));
+        only("POST", method, answer, () -> abort(id, told(answer)));
       } else {
-        only("GET", method, answer, () -> poll(id, answer));
+        only("GET", method, answer, () -> poll(id, told(answer)));
       }
     } else {
       answer.accept(Answer.refuse(404, "there is nothing at " + path));
@@ -108,6 +112,16 @@
     }
   }
 
+  /** Every answer to a user goes through here: the other controllers hear of a cancellation before its user does. */
+  private Consumer<Answer> told(Consumer<Answer> answer) {
+    return a -> {
+      if (a.status() == 200 && a.body().path("status").asText().equals("aborted")) {
+        cancellations.confirmed(a.body().path("name_id").asText());
+      }
+      answer.accept(a);
+    };
+  }
+
   private Consumer<Answer> timed(Consumer<Answer> answer) {
     long since = loop.millis();
     return a -> {
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.sandford.Constants;
 import org.sandford.api.Api;
+import org.sandford.cancel.Cancellations;
 import org.sandford.capacity.Capacity;
 import org.sandford.cloud.CloudClient;
 import org.sandford.job.Finals;
@@ -15,6 +16,9 @@
 import org.sandford.machine.Fleet;
 import org.sandford.machine.Roster;
 import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.Cancelled;
+import org.sandford.peer.wire.CancellationsAsked;
+import org.sandford.peer.wire.CancellationsTold;
 import org.sandford.peer.wire.Claim;
 import org.sandford.peer.wire.Claimed;
 import org.sandford.peer.wire.ClearTask;
@@ -51,7 +55,8 @@
   private final Roster roster;
   private final Fleet fleet;
   private final Jobs jobs;
-  private final Finals finals = new Finals();
+  private final Finals finals;
+  private final Cancellations cancellations;
   private final Capacity capacity;
   private final Api api;
   private MapKnown mapKnown = new MapKnown(0L, 0L);
@@ -63,18 +68,20 @@
     StateClient state =
         new StateClient(loop, http, settings.state().toString(), facts.stateRps(), facts.stateWriteRps());
     CloudClient cloud = new CloudClient(loop, http, settings.cloud().toString(), facts.cloudRps());
+    finals = new Finals(loop);
     JobStore store = new JobStore(loop, state);
     Lookup lookup = new Lookup(state, finals);
     share = new Share(loop, settings, state);
     links = new PeerLinks(loop, settings, peers, share::incarnation);
+    cancellations = new Cancellations(loop, settings, links, share, share::id);
     roster = new Roster(loop, share);
-    fleet = new Fleet(loop, settings, share, http, links, store, this::flavor, finals::contains, roster);
+    fleet = new Fleet(loop, settings, share, cancellations, http, links, store, this::flavor, finals::contains, roster);
     jobs =
         new Jobs(
             loop, settings, share, links, roster,
             new RecordWriter(loop, state, facts.stateTxnOps()), store, finals, lookup, this::flavor);
     capacity = new Capacity(loop, settings, share, cloud, links, roster, jobs::demand);
-    api = new Api(loop, settings, share, links, jobs, fleet, finals, lookup, capacity);
+    api = new Api(loop, settings, share, links, jobs, fleet, finals, lookup, capacity, cancellations);
   }
 
   private org.sandford.cloud.Flavor flavor(String kind) {
@@ -86,6 +93,7 @@
     log.info("controller {} in zone {} starts", settings.label(), settings.zone());
     share.start(this);
     links.start(this, this);
+    cancellations.start(this::cancelled);
     fleet.start();
     jobs.start();
     capacity.start();
@@ -141,6 +149,13 @@
     jobs.finalSeen(job, record);
   }
 
+  /** Another controller told a user so; the store's watch may tell the same sooner or later. */
+  private void cancelled(String job) {
+    if (!finals.contains(job)) {
+      finalSeen(job, Finals.ABORTED);
+    }
+  }
+
   @Override
   public void jobAdded(String job, String team) {
     jobs.takeAdded(job, team);
@@ -187,6 +202,13 @@
         share.addMachine(
             new Share.NewMachine(seen.machine, seen.addr, seen.kind, seen.zone, seen.spot));
       }
+    } else if (message instanceof Cancelled told) {
+      cancellations.told(told);
+    } else if (message instanceof CancellationsAsked ask) {
+      CancellationsTold told = cancellations.asked(ask);
+      if (told != null) {
+        answer.accept(told);
+      }
     } else if (message instanceof MapKnown known) {
       // One that was cut off from the store must learn that it was replaced.
       MapShown lacking = share.lacking(known);
@@ -211,6 +233,8 @@
       api.answered(answer);
     } else if (message instanceof Yielded answer) {
       share.teamYielded(answer.team, answer.generation);
+    } else if (message instanceof CancellationsTold answer) {
+      cancellations.told(from, answer);
     } else if (message instanceof MapShown map) {
       share.shown(map);
     } else {
--- a/src/main/java/org/sandford/job/Finals.java
+++ b/src/main/java/org/sandford/job/Finals.java
@@ -3,21 +3,48 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
 
-/** Final answers, which never change and may be kept by anybody. A miss here means nothing. */
+/**
+ * Final answers, which never change and may be kept by anybody. A miss here means nothing, but for ends that were
+ * told lately: the cache may drop any entry, and a job that just ended must not look as if it had not.
+ */
 public final class Finals {
+  /** The final record of a job that was cancelled. */
+  public static final JsonNode ABORTED = Json.object().put("s", "aborted");
+
+  private record Recent(String state, long until) {}
+
+  private final Loop loop;
+  private final Map<String, Recent> recent = new LinkedHashMap<>();
   private final Cache<String, String> known =
       Caffeine.newBuilder().maximumSize(Constants.FINALS_CACHED).executor(Runnable::run).build();
 
+  public Finals(Loop loop) {
+    this.loop = loop;
+  }
+
   /** Takes a stored final record. */
   public void put(String job, JsonNode record) {
-    known.put(job, record.path("s").asText());
+    long now = loop.nanos();
+    String state = record.path("s").asText();
+    known.put(job, state);
+    recent.putIfAbsent(job, new Recent(state, now + (long) (Constants.ENDS_REMEMBERED_S * 1e9)));
+    Iterator<Recent> oldest = recent.values().iterator();
+    while (oldest.hasNext() && oldest.next().until() < now) {
+      oldest.remove();
+    }
   }
 
   /** {@code done}, {@code aborted}, or null when it is not known here. */
   public String get(String job) {
-    return known.getIfPresent(job);
+    Recent ended = recent.get(job);
+    return ended != null ? ended.state() : known.getIfPresent(job);
   }
 
   public boolean contains(String job) {
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -226,7 +226,8 @@
             open.forEach(
                 (id, entry) -> {
                   JobSpec spec = JobStore.spec(id, entry.value());
-                  if (spec.team().equals(team.name) && !jobs.containsKey(id)) {
+                  // The listing may be older than an end that was told meanwhile.
+                  if (spec.team().equals(team.name) && !jobs.containsKey(id) && !finals.contains(id)) {
                     Job job =
                         new Job(spec, entry.value().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
                     job.revision = entry.revision();
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.sandford.Constants;
+import org.sandford.cancel.Cancellations;
 import org.sandford.cloud.Flavor;
 import org.sandford.core.Answer;
 import org.sandford.core.HttpCalls;
@@ -55,6 +56,7 @@
   private final Loop loop;
   private final Settings settings;
   private final Share share;
+  private final Cancellations cancellations;
   private final HttpCalls http;
   private final PeerLinks links;
   private final JobStore jobs;
@@ -71,12 +73,15 @@
   private Iterator<String> refreshing;
   private boolean publishing;
   private boolean learning;
+  /** Rises when ends of jobs may have been missed: a listing begun before proves nothing any more. */
+  private int learnRound;
   private long learnedAt = Long.MIN_VALUE / 2;
 
   public Fleet(
       Loop loop,
       Settings settings,
       Share share,
+      Cancellations cancellations,
       HttpCalls http,
       PeerLinks links,
       JobStore jobs,
@@ -86,6 +91,7 @@
     this.loop = loop;
     this.settings = settings;
     this.share = share;
+    this.cancellations = cancellations;
     this.http = http;
     this.links = links;
     this.jobs = jobs;
@@ -372,6 +378,8 @@
 
   /** Final states may have passed unseen: every job of the share is looked up again. */
   public void finalsMissed() {
+    learnRound++;
+    specs.clear();
     for (Machine machine : machines.values()) {
       machine.entries.values().forEach(entry -> entry.known = false);
     }
@@ -393,9 +401,6 @@
     if (!machine.place.seen()) {
       announce(report);
     }
-    if (!share.mayRenewLeases()) {
-      return Answer.later(503, "this controller may not renew leases now", 1);
-    }
     if (machine.stale(report)) {
       return Answer.later(503, "a newer report is known", 1);
     }
@@ -403,13 +408,16 @@
     if (machine.superseded()) {
       return elsewhere(report, place);
     }
+    if (!cancellations.mayRenew(machine.allKnown())) {
+      return Answer.later(503, "this controller may not renew leases now", 1);
+    }
     long now = loop.nanos();
     machine.answeredAt = now;
     machine.voidStartsToClear(now, settings.facts().leaseS() / 2);
     ObjectNode answer = Json.object().put("fence", machine.token());
     boolean startsToo =
         machine.directFailures > 1 && machine.state() == MachineState.UP && share.holdValid();
-    answer.set("orders", machine.mine() ? machine.orders(false, startsToo, now) : Json.array());
+    answer.set("orders", machine.orders(false, startsToo, now));
     return Answer.of(200, answer);
   }
 
@@ -455,11 +463,11 @@
       changed |= machine.becomes(MachineState.SYNCING, "it is heard again");
     }
     changed |= describe(machine);
-    clearEnded(machine);
+    endFinal(machine);
     if (changed) {
       mark(machine);
     }
-    if (machine.wantsDirect()) {
+    if (machine.wantsDirect(true, now)) {
       loop.execute(() -> command(machine));
     }
   }
@@ -499,11 +507,20 @@
     }
   }
 
-  /** What exited of a job whose end is stored is cleared here: its team's owner may have forgotten the job by now. */
-  private void clearEnded(Machine machine) {
+  /**
+   * What is here of jobs whose end is stored has to go, and what exited of them is cleared: the job's end may have
+   * been told before this machine was, and its team's owner may have forgotten the job by now.
+   */
+  private void endFinal(Machine machine) {
     for (Entry entry : machine.entries.values()) {
-      if (entry.state == TaskState.EXITED && !entry.clear) {
-        entry.clear = isFinal.test(entry.key.task().job());
+      if ((entry.clear || entry.stopGrace == 0) || !isFinal.test(entry.key.task().job())) {
+        continue;
+      }
+      if (entry.onMachine()) {
+        entry.stopGrace = 0;
+        entry.stopSentAt = 0;
+      } else {
+        entry.clear = true;
       }
     }
   }
@@ -523,11 +540,16 @@
 
   private void learnNow() {
     learnedAt = loop.millis();
+    int round = learnRound;
     List<Entry> asked = new ArrayList<>();
     machines.values().forEach(m -> m.entries.values().stream().filter(e -> !e.known).forEach(asked::add));
     jobs.openJobs(
         open -> {
           learning = false;
+          if (round != learnRound) {
+            learn();
+            return;
+          }
           specs.clear();
           open.forEach((id, entry) -> specs.put(id, JobStore.spec(id, entry.value())));
           for (Machine machine : machines.values()) {
@@ -573,15 +595,17 @@
 
   private void command(Machine machine) {
     boolean ready = machine.state() == MachineState.UP || machine.state() == MachineState.DRAINING;
-    if (!alive(machine) || !ready || machine.busyDirect || !machine.wantsDirect() || !share.holdValid()) {
+    // A stop is safe without a hold: it names an attempt, and whoever owns the machine by now has a higher token.
+    boolean startsToo = machine.state() == MachineState.UP && share.holdValid();
+    long now = loop.nanos();
+    if (!alive(machine) || !ready || machine.busyDirect || !machine.wantsDirect(startsToo, now)) {
       return;
     }
     if (machine.directFailures > 1) {
       return;
     }
-    long now = loop.nanos();
     ObjectNode body = Json.object().put("fence", machine.token()).put("tenure", machine.tenure);
-    body.set("orders", machine.orders(true, machine.state() == MachineState.UP, now));
+    body.set("orders", machine.orders(true, startsToo, now));
     List<Entry> batch = machine.sent();
     machine.busyDirect = true;
     http.send(
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -77,6 +77,18 @@
     boolean onMachine() {
       return state != TaskState.EXITED;
     }
+
+    /** Whether it was told to stop and has to be told again; one that saves is left to it while it may. */
+    boolean toStop() {
+      return stopGrace >= 0
+          && onMachine()
+          && start != Start.QUEUED
+          && (state != TaskState.SAVING || stopGrace == 0);
+    }
+
+    boolean stopDue(long now) {
+      return stopSentAt == 0 || now - stopSentAt > Constants.COMMAND_CALL_MS * 1_000_000L;
+    }
   }
 
   private record Keep(Kept room, long until) {}
@@ -358,23 +370,24 @@
     entries.clear();
   }
 
-  /** Orders to send now; those sent get marked. */
+  /**
+   * Orders to send now; those sent get marked. A stop goes again until a message without the task comes, and also
+   * with the answer that first shows the worker a new token, which renews its lease.
+   */
   ArrayNode orders(boolean direct, boolean startsToo, long now) {
     ArrayNode orders = Json.array();
     for (Entry entry : entries.values()) {
-      if (startsToo && entry.start == Start.QUEUED && entry.stopGrace < 0) {
+      if (startsToo && mine() && entry.start == Start.QUEUED && entry.stopGrace < 0) {
         orders.add(order("start", entry));
         entry.start = direct ? Start.SENT : Start.REPORTED;
         entry.startToken = direct ? token() : -1;
         entry.sentSerial = serial;
-      } else if (entry.stopGrace >= 0 && entry.onMachine() && entry.start != Start.QUEUED) {
-        boolean again = entry.state != TaskState.SAVING || entry.stopGrace == 0;
-        boolean due = !direct || now - entry.stopSentAt > Constants.COMMAND_CALL_MS * 1_000_000L;
-        if (again && due) {
+      } else if (entry.toStop()) {
+        if (!direct || entry.stopDue(now)) {
           orders.add(order("stop", entry).put("wind_down_s", entry.stopGrace));
           entry.stopSentAt = now;
         }
-      } else if (entry.clear && entry.state == TaskState.EXITED && entry.startToken < token()) {
+      } else if (mine() && entry.clear && entry.state == TaskState.EXITED && entry.startToken < token()) {
         orders.add(order("clear", entry));
       }
     }
@@ -388,12 +401,13 @@
         .put("try", entry.key.attempt());
   }
 
-  boolean wantsDirect() {
+  boolean wantsDirect(boolean startsToo, long now) {
     for (Entry entry : entries.values()) {
-      if (entry.start == Start.QUEUED && entry.stopGrace < 0) {
+      if (startsToo && entry.start == Start.QUEUED && entry.stopGrace < 0) {
         return true;
       }
-      if (entry.stopGrace >= 0 && entry.onMachine() && entry.stopSentAt == 0) {
+      // A worker that reports to nobody is stopped by repeated commands alone.
+      if (entry.toStop() && entry.stopDue(now)) {
         return true;
       }
     }
--- a/src/main/java/org/sandford/peer/PeerLinks.java
+++ b/src/main/java/org/sandford/peer/PeerLinks.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.sandford.Constants;
+import org.sandford.cancel.Cancellations;
 import org.sandford.core.Loop;
 import org.sandford.core.PeerTransport;
 import org.sandford.core.PeerTransport.Connection;
@@ -22,7 +23,7 @@
  * <p>A newer link from the same peer ends the older one before anything of it is read, so frames
  * that a cut held back on an old connection change nothing.
  */
-public final class PeerLinks {
+public final class PeerLinks implements Cancellations.Peers {
   private static final Logger log = LoggerFactory.getLogger(PeerLinks.class);
 
   /** Takes what others ask. */
@@ -110,6 +111,7 @@
   }
 
   /** Sends a request; false when there is no live link. */
+  @Override
   public boolean ask(String label, Object message) {
     if (self(label)) {
       loop.execute(() -> serving.request(label, message, answer -> loop.execute(() -> asking.told(label, answer))));
@@ -124,6 +126,7 @@
   }
 
   /** Sends a request to all with a live link but this controller. */
+  @Override
   public void askOthers(Object message) {
     byte[] frame = codec.encode(message);
     outs.values().stream().filter(o -> o.state == Dialled.LIVE).forEach(o -> o.connection.send(frame));
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.sandford.Constants;
+import org.sandford.cancel.Cancellations;
 import org.sandford.core.Json;
 import org.sandford.core.Loop;
 import org.sandford.peer.wire.MapKnown;
@@ -37,7 +38,7 @@
  * This controller's place among the others: its hold, the leadership, and the assignment map as far
  * as it is known here.
  */
-public final class Share {
+public final class Share implements Cancellations.Store {
   private static final Logger log = LoggerFactory.getLogger(Share.class);
   private static final String PREFIX = "c/";
   private static final String MEMBER = "c/ctl/";
@@ -90,10 +91,16 @@
   private long holdUntil;
   private long membershipTry;
   private long memberRevision;
+  /** The revision at which the store gave this life its number. */
+  private long nameRevision;
 
   private long watchSince = -1;
   private long finalsSince = -1;
+  /** What the store held at these moments is known here, by its watches. */
   private long finalsFreshAt = Long.MIN_VALUE / 2;
+  private long mapFreshAt = Long.MIN_VALUE / 2;
+  /** Ends of jobs that were stored before this moment may be unknown here. */
+  private long finalsReadAt = Long.MAX_VALUE / 2;
 
   private final Map<String, String> members = new TreeMap<>();
   private final Map<String, String> added = new TreeMap<>();
@@ -183,21 +190,19 @@
     return watchSince >= 0;
   }
 
-  /**
-   * The latest moment at which every job called aborted by then is known here: both the hold and the
-   * watch on final states were good.
-   */
-  public long abortsKnownAt() {
-    return Math.min(finalsFreshAt, holdUntil - (long) (Constants.HOLD_TTL_MS * 1e6));
+  @Override
+  public long seenAt() {
+    return Math.min(finalsFreshAt, mapFreshAt);
+  }
+
+  @Override
+  public long endsKnownSince() {
+    return finalsReadAt;
   }
 
-  /** Whether workers' leases may still be renewed: an abort told elsewhere must kill in time. */
-  public boolean mayRenewLeases() {
-    double grace =
-        settings.facts().cancelS() * (1 - Constants.CLOCK_DRIFT)
-            - settings.facts().leaseS()
-            - Constants.KILL_MARGIN_S;
-    return loop.nanos() < abortsKnownAt() + (long) (grace * 1e9);
+  @Override
+  public long machinesRevision() {
+    return machines.revision();
   }
 
   /** Jobs that were stored for their team's owner and not taken up yet, with their teams. */
@@ -271,6 +276,7 @@
           incarnation = number;
           id = settings.label() + "#" + number;
           hires = 0;
+          nameRevision = result.revision();
           becomes(Membership.NAMED);
           takeHold(attempt);
         });
@@ -303,8 +309,9 @@
 
   private void writeMember(long attempt) {
     String key = MEMBER + settings.label();
+    // Carried out late, after a newer life took its number, this would take that life's key away.
     state.txn(
-        Map.of(),
+        Map.of("inc/" + settings.label(), nameRevision),
         List.of(new Op(key, Json.object().put("id", id), hold)),
         Priority.RENEWAL,
         result -> {
@@ -358,6 +365,7 @@
   // --- the watches ----------------------------------------------------------------------------------
 
   private void loadMap() {
+    long sentAt = loop.nanos();
     state.list(
         PREFIX,
         (entries, epoch) -> {
@@ -371,6 +379,7 @@
           leaderRevision = 0;
           absorb(entries);
           watchSince = epoch;
+          mapFreshAt = sentAt;
           listener.mapChanged();
           elect();
           follow();
@@ -378,6 +387,7 @@
   }
 
   private void follow() {
+    long sentAt = loop.nanos();
     state.follow(
         PREFIX,
         watchSince,
@@ -397,6 +407,7 @@
             elect();
             lead();
           }
+          mapFreshAt = sentAt;
           follow();
         });
   }
@@ -413,6 +424,7 @@
           }
           finalsSince = epoch;
           finalsFreshAt = sentAt;
+          finalsReadAt = sentAt;
           listener.finalsMissed();
           followFinals();
         });
@@ -835,6 +847,11 @@
             state.list(
                 PREFIX,
                 (entries, epoch) -> {
+                  if (entries != null && epoch < watchSince) {
+                    // Older than what the watch has told: it would bring back members that are gone.
+                    readBack();
+                    return;
+                  }
                   writing = false;
                   if (entries != null) {
                     absorb(entries);
--- /dev/null
+++ b/src/test/java/org/sandford/cancel/CancellationsTest.java
@@ -0,0 +1,252 @@
+package org.sandford.cancel;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.sandford.core.Loop;
+import org.sandford.peer.wire.CancellationsAsked;
+import org.sandford.peer.wire.CancellationsTold;
+import org.sandford.peer.wire.Cancelled;
+import org.sandford.settings.Settings;
+
+/** What counts as known of cancellations, and until when a lease may be renewed for it. */
+class CancellationsTest {
+  private static final double LEASE_S = 16;
+  private static final double CANCEL_S = 46;
+  /** Any renewal later than this after what is known would let a task outlive the bound. */
+  private static final double LAST_RENEWAL_S = CANCEL_S - LEASE_S;
+
+  private final Clock clock = new Clock();
+  private final List<Object> sent = new ArrayList<>();
+  private final List<String> heard = new ArrayList<>();
+  private long seenAt = Long.MIN_VALUE / 2;
+  private long knownSince = Long.MAX_VALUE / 2;
+  private long mapRevision = 10;
+  private String life = "c0#1";
+
+  private static final class Clock implements Loop {
+    long now = 1_000_000_000_000L;
+
+    @Override
+    public long nanos() {
+      return now;
+    }
+
+    @Override
+    public long wallMillis() {
+      return now / 1_000_000;
+    }
+
+    @Override
+    public Timer after(long millis, Runnable what) {
+      return () -> {};
+    }
+
+    @Override
+    public void execute(Runnable what) {
+      what.run();
+    }
+
+    void pass(double seconds) {
+      now += (long) (seconds * 1e9);
+    }
+  }
+
+  private Cancellations controller() {
+    Settings.Endpoint any = new Settings.Endpoint("c0", 80);
+    Settings settings =
+        new Settings(
+            "c0", "a", any, any,
+            List.of(new Settings.Other("c1", "b", any), new Settings.Other("c2", "a", any)), any, any,
+            new Settings.Facts(List.of("a", "b"), Map.of(), 2, LEASE_S, CANCEL_S, 250, 50, 16_384, 24, 5, 5, 500, 3),
+            new Settings.Operators(1_000, true, 30));
+    Cancellations.Peers peers =
+        new Cancellations.Peers() {
+          @Override
+          public boolean ask(String label, Object message) {
+            return sent.add(message);
+          }
+
+          @Override
+          public void askOthers(Object message) {
+            sent.add(message);
+          }
+        };
+    Cancellations.Store store =
+        new Cancellations.Store() {
+          @Override
+          public long seenAt() {
+            return seenAt;
+          }
+
+          @Override
+          public long endsKnownSince() {
+            return knownSince;
+          }
+
+          @Override
+          public long machinesRevision() {
+            return mapRevision;
+          }
+        };
+    Cancellations made = new Cancellations(clock, settings, peers, store, () -> life);
+    made.start(heard::add);
+    return made;
+  }
+
+  private void readStore() {
+    seenAt = clock.now;
+    if (knownSince > clock.now) {
+      knownSince = clock.now;
+    }
+  }
+
+  private CancellationsTold shown(String ofLife, long since, long upTo, String... jobs) {
+    return new CancellationsTold(clock.now, ofLife, since, upTo, List.of(jobs), mapRevision);
+  }
+
+  private void allShow(Cancellations c) {
+    c.told("c1", shown("c1#1", 0, 0));
+    c.told("c2", shown("c2#1", 0, 0));
+  }
+
+  @Test
+  void nothingIsRenewedBeforeTheStoreWasRead() {
+    Cancellations c = controller();
+    allShow(c);
+    assertFalse(c.mayRenew(true));
+    readStore();
+    assertTrue(c.mayRenew(true));
+  }
+
+  @Test
+  void aSilentStoreEndsRenewalsSoThatTasksEndWithinTheBound() {
+    Cancellations c = controller();
+    readStore();
+    clock.pass(LAST_RENEWAL_S - 2);
+    assertTrue(c.mayRenew(true));
+    clock.pass(1.5);
+    assertFalse(c.mayRenew(true), "half a second is not enough for drift, late timers and slow kills");
+  }
+
+  @Test
+  void renewalsGoOnWhileAllOthersShowTheirLogs() {
+    Cancellations c = controller();
+    allShow(c);
+    readStore();
+    for (int i = 0; i < 100; i++) {
+      clock.pass(1);
+      allShow(c);
+    }
+    assertTrue(c.mayRenew(true));
+    // One of them alone may have told users of cancellations.
+    for (int i = 0; i < (int) LAST_RENEWAL_S; i++) {
+      clock.pass(1);
+      c.told("c1", shown("c1#1", 0, 0));
+    }
+    assertFalse(c.mayRenew(true));
+  }
+
+  @Test
+  void anAnswerIsAsOldAsItsQuestion() {
+    Cancellations c = controller();
+    allShow(c);
+    readStore();
+    clock.pass(1);
+    CancellationsTold late = shown("c1#1", 0, 0);
+    clock.pass(LAST_RENEWAL_S);
+    c.told("c1", late);
+    c.told("c2", shown("c2#1", 0, 0));
+    assertFalse(c.mayRenew(true));
+  }
+
+  @Test
+  void anAnswerUnderANewerMapDoesNotCount() {
+    Cancellations c = controller();
+    allShow(c);
+    readStore();
+    clock.pass(LAST_RENEWAL_S);
+    CancellationsTold newer = shown("c1#1", 0, 0);
+    newer.machinesRevision = mapRevision + 1;
+    c.told("c1", newer);
+    c.told("c2", shown("c2#1", 0, 0));
+    assertFalse(c.mayRenew(true), "another may own the machines by now, and counts on their leases to end");
+    mapRevision++;
+    c.told("c1", newer);
+    assertTrue(c.mayRenew(true));
+  }
+
+  @Test
+  void aNewLifeDoesNotSpeakForTheFormerOne() {
+    Cancellations c = controller();
+    allShow(c);
+    readStore();
+    clock.pass(LAST_RENEWAL_S);
+    c.told("c1", shown("c1#2", 0, 0));
+    c.told("c2", shown("c2#1", 0, 0));
+    assertFalse(c.mayRenew(true), "what c1#1 told last may be missing");
+    clock.pass(0.1);
+    readStore();
+    clock.pass(LAST_RENEWAL_S);
+    c.told("c1", shown("c1#2", 0, 0));
+    c.told("c2", shown("c2#1", 0, 0));
+    assertTrue(c.mayRenew(true), "the store was read since");
+  }
+
+  @Test
+  void aLogThatLostItsBeginningIsNoAnswer() {
+    Cancellations c = controller();
+    allShow(c);
+    readStore();
+    clock.pass(LAST_RENEWAL_S);
+    c.told("c1", shown("c1#1", 7, 9, "wk-8", "wk-9"));
+    c.told("c2", shown("c2#1", 0, 0));
+    assertFalse(c.mayRenew(true));
+    assertEquals(List.of("wk-8", "wk-9"), heard);
+  }
+
+  @Test
+  void tasksThatWereNotLookedUpMayBeOfJobsCancelledLongAgo() {
+    Cancellations c = controller();
+    readStore();
+    assertFalse(c.mayRenew(false));
+    assertTrue(c.mayRenew(true));
+    clock.pass(CANCEL_S);
+    readStore();
+    assertFalse(c.mayRenew(false));
+    clock.pass(3);
+    readStore();
+    assertTrue(c.mayRenew(false), "by now they would be gone");
+  }
+
+  @Test
+  void othersHearOfACancellationInTheSameMomentAndUntilTheyHaveSeenIt() {
+    Cancellations c = controller();
+    sent.clear();
+    c.confirmed("wk-1");
+    c.confirmed("wk-1");
+    c.confirmed("wk-2");
+    assertEquals(List.of(new Cancelled("wk-1"), new Cancelled("wk-2")), sent);
+    assertEquals(List.of("wk-1", "wk-2"), c.asked(new CancellationsAsked(5L, "c0#1", 0L)).jobs);
+    assertEquals(List.of("wk-2"), c.asked(new CancellationsAsked(5L, "c0#1", 1L)).jobs);
+    assertEquals(List.of(), c.asked(new CancellationsAsked(5L, "c0#1", 2L)).jobs);
+    assertEquals(List.of("wk-1", "wk-2"), c.asked(new CancellationsAsked(5L, "c0#0", 2L)).jobs, "another life's count");
+    assertEquals(5, c.asked(new CancellationsAsked(5L, "", 0L)).at);
+    life = "";
+    assertNull(c.asked(new CancellationsAsked(5L, "", 0L)));
+  }
+
+  @Test
+  void whatAnotherConfirmedIsTakenIn() {
+    Cancellations c = controller();
+    c.told(new Cancelled("wk-1"));
+    c.told("c1", shown("c1#1", 0, 2, "wk-1", "wk-2"));
+    assertEquals(List.of("wk-1", "wk-1", "wk-2"), heard);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/RandomMeetings.java
@@ -0,0 +1,151 @@
+package org.sandford.scenario;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+
+/**
+ * Draws a small world in which two or three troubles meet at random times, as the lines of a scenario. The same seed
+ * always draws the same one, so a seed that broke a rule can be written down as a scenario.
+ */
+final class RandomMeetings {
+  private static final double[][] WORKERS = {{2, 16, 46}, {4, 22, 52}, {5, 26, 56}};
+  private static final double TROUBLES_FROM_S = 15;
+  private static final double TROUBLES_UNTIL_S = 150;
+  private static final double UNTIL_S = 330;
+
+  private final Random random;
+  private final List<double[]> times = new ArrayList<>();
+  private final List<String> texts = new ArrayList<>();
+  private int machines;
+
+  private RandomMeetings(long seed) {
+    random = new Random(seed);
+  }
+
+  static List<String> draw(long seed) {
+    return new RandomMeetings(seed).lines(seed);
+  }
+
+  private List<String> lines(long seed) {
+    List<String> head = new ArrayList<>();
+    double[] w = WORKERS[random.nextInt(WORKERS.length)];
+    head.add(String.format(Locale.ROOT, "workers %.0f %.0f %.0f", w[0], w[1], w[2]));
+    machines = 2 + random.nextInt(2);
+    head.add("seed " + seed);
+    head.add("machines " + machines);
+    head.add("pool " + (machines + random.nextInt(5)));
+    head.add("team red 8 " + (16 + 8 * random.nextInt(3)));
+    head.add("team blue 8 32");
+    head.add("until " + UNTIL_S);
+    int jobs = 6 + random.nextInt(5);
+    for (int i = 0; i < jobs; i++) {
+      job(i);
+    }
+    int troubles = 2 + random.nextInt(2);
+    double at = between(TROUBLES_FROM_S, TROUBLES_UNTIL_S - 60);
+    for (int i = 0; i < troubles; i++) {
+      trouble(Math.min(TROUBLES_UNTIL_S - 30, at + between(0, 15) * i), w);
+    }
+    // Whatever went on too long is over by now.
+    at(TROUBLES_UNTIL_S + 10, "start all");
+    List<Integer> order = new ArrayList<>();
+    for (int i = 0; i < texts.size(); i++) {
+      order.add(i);
+    }
+    order.sort((a, b) -> Double.compare(times.get(a)[0], times.get(b)[0]));
+    for (int i : order) {
+      head.add(String.format(Locale.ROOT, "at %.2f %s", times.get(i)[0], texts.get(i)));
+    }
+    return head;
+  }
+
+  private double between(double from, double to) {
+    return from + random.nextDouble() * (to - from);
+  }
+
+  private void at(double when, String what) {
+    times.add(new double[] {when});
+    texts.add(what);
+  }
+
+  private void job(int number) {
+    String id = "wk-" + (100 + number);
+    String team = random.nextBoolean() ? "red" : "blue";
+    double when = number < 4 ? 3 : between(3, 160);
+    StringBuilder text = new StringBuilder("submit ").append(id).append(" team=").append(team);
+    int tasks = 1 + random.nextInt(6);
+    text.append(" tasks=").append(tasks).append(" cpus=").append(1 + random.nextInt(2));
+    if (random.nextInt(3) == 0) {
+      text.append(" standing rank=production");
+      text.append(random.nextBoolean() ? " scatter" : " together");
+    } else {
+      text.append(" run=").append(2 + random.nextInt(20)).append('/').append(5 + random.nextInt(90));
+      text.append(random.nextInt(4) == 0 ? " together" : "").append(random.nextInt(3) == 0 ? " rank=urgent" : "");
+    }
+    at(when, text.toString());
+    if (random.nextInt(3) == 0) {
+      at(Math.max(when + 1, between(10, 150)), "abort " + id);
+    }
+  }
+
+  private String someMachine() {
+    return "m:" + random.nextInt(2 * machines);
+  }
+
+  private void trouble(double at, double[] w) {
+    double lease = w[1];
+    switch (random.nextInt(16)) {
+      case 0 -> span(at, between(2, 20), "refuse leader", "admit refused");
+      case 1 -> span(at, between(5, w[2] + 15), "outage store on", "outage store off");
+      case 2 -> span(at, between(0.1, 8), "crash leader", "start all");
+      case 3 -> span(at, between(0.1, lease + 10), "crash all", "start all");
+      case 4 -> {
+        for (int i = 0; i < 4; i++) {
+          span(at + 12 * i, between(0.1, 6), "crash leader", "start all");
+        }
+      }
+      case 5 -> {
+        String machine = someMachine();
+        span(at, between(1, lease + 10), "hang " + machine, "resume " + machine);
+      }
+      case 6 -> {
+        String machine = someMachine();
+        span(at, between(3, lease + 20), "mute " + machine, "unmute " + machine);
+      }
+      case 7 -> {
+        String machine = someMachine();
+        span(at, between(3, lease + 20), "deafen " + machine, "hears " + machine);
+      }
+      case 8 -> {
+        String machine = someMachine();
+        span(at, between(1, lease + 20), "cut " + machine + " * hold", "heal " + machine + " *");
+      }
+      case 9 -> span(at, between(5, lease + 25), "island " + (random.nextBoolean() ? "a" : "b"), "mainland");
+      case 10 -> span(at, between(10, 50), "late_writes 30", "late_writes 0");
+      case 11 -> span(at, between(10, 60), "late_reports on", "late_reports off");
+      case 12 -> span(at, between(10, 40), "slow_store 1000", "slow_store 0");
+      case 13 -> {
+        String c = "c" + random.nextInt(3);
+        double length = between(4, w[2]);
+        span(at, length, "cut " + c + " store lose", "heal " + c + " store");
+        for (int i = 0; i < 3; i++) {
+          if (!c.equals("c" + i)) {
+            span(at, length, "cut " + c + " c" + i + " hold", "heal " + c + " c" + i);
+          }
+        }
+      }
+      case 14 -> span(at, between(20, 60), "cancels_at_end on", "cancels_at_end off");
+      default -> {
+        span(at, between(10, 60), "odd_requests on", "odd_requests off");
+        span(at + 1, between(10, 60), "duplicates on 40", "duplicates off");
+      }
+    }
+  }
+
+  private void span(double from, double length, String begins, String ends) {
+    at(from, begins);
+    at(Math.min(TROUBLES_UNTIL_S, from + length), ends);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/scenario/RulesTest.java
@@ -0,0 +1,223 @@
+package org.sandford.scenario;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.sandford.core.Json;
+
+/** Each check of the rules fails when its rule is broken. */
+class RulesTest {
+  private final Scenario scenario = new Scenario("rules", List.of("team red 8 16", "team blue 8 16"));
+  private final World world = scenario.world;
+  private final Rules rules = scenario.rules;
+
+  private Scenario.Submitted job(String id) {
+    Scenario.Submitted job = new Scenario.Submitted();
+    job.id = id;
+    job.since = world.now();
+    scenario.submitted.put(id, job);
+    return job;
+  }
+
+  private WorkerStandIn machine(String zone, boolean spot) {
+    CloudStandIn.Rented rented = scenario.cloud.rent(zone, spot, 0);
+    rented.worker = scenario.boot(rented);
+    return rented.worker;
+  }
+
+  private WorkerStandIn.Held runs(WorkerStandIn on, Scenario.Submitted job, int task) {
+    WorkerStandIn.Held held = new WorkerStandIn.Held(job.id + "/" + task, 1, job);
+    on.held.put(held.piece + "@1", held);
+    rules.starts(on, held);
+    held.status = "running";
+    return held;
+  }
+
+  private void broken(String... wanted) {
+    List<String> got = world.broken.stream().map(text -> text.replaceAll("^\\S+ s (\\S+):.*", "$1")).toList();
+    assertEquals(List.of(wanted), got, world.broken::toString);
+  }
+
+  @Test
+  void aQuietPairBreaksNothing() {
+    Scenario.Submitted job = job("wk-1");
+    job.tasks = 2;
+    runs(machine("a", false), job, 0);
+    runs(machine("b", false), job, 1);
+    broken();
+  }
+
+  @Test
+  void ranTwice() {
+    Scenario.Submitted job = job("wk-1");
+    runs(machine("a", false), job, 0);
+    runs(machine("b", false), job, 0);
+    broken("ran_twice");
+  }
+
+  @Test
+  void quota() {
+    Scenario.Submitted job = job("wk-1");
+    job.cpus = 9;
+    job.tasks = 2;
+    runs(machine("a", false), job, 0);
+    runs(machine("a", false), job, 1);
+    broken("quota");
+  }
+
+  @Test
+  void wrongPlace() {
+    Scenario.Submitted together = job("wk-1");
+    together.together = true;
+    together.tasks = 2;
+    runs(machine("a", false), together, 0);
+    runs(machine("b", false), together, 1);
+    Scenario.Submitted scatter = job("wk-2");
+    scatter.scatter = true;
+    scatter.tasks = 2;
+    runs(machine("a", false), scatter, 0);
+    runs(machine("a", false), scatter, 1);
+    runs(machine("a", true), job("wk-3"), 0);
+    Scenario.Submitted bound = job("wk-4");
+    bound.zone = "b";
+    runs(machine("a", false), bound, 0);
+    broken("wrong_place", "wrong_place", "wrong_place", "wrong_place");
+  }
+
+  @Test
+  void ranCancelled() {
+    Scenario.Submitted job = job("wk-1");
+    WorkerStandIn machine = machine("a", false);
+    runs(machine, job, 0);
+    // Hanging keeps the lease from ending it.
+    machine.hang(true);
+    job.abortedAt = world.now();
+    world.runUntil(scenario.cancelS - 1);
+    broken();
+    world.runUntil(scenario.cancelS + 0.1);
+    assertTrue(world.broken.get(0).contains("ran_cancelled"), world.broken::toString);
+  }
+
+  @Test
+  void noStartIsOrderedAfterACancellation() {
+    Scenario.Submitted job = job("wk-1");
+    var orders = Json.array();
+    orders.addObject().put("verb", "start").put("piece", "wk-1/0").put("try", 1);
+    job.abortedAt = world.now();
+    rules.ordered(orders);
+    broken();
+    world.runUntil(1);
+    rules.ordered(orders);
+    broken("ran_cancelled");
+  }
+
+  @Test
+  void forgotten() {
+    Scenario.Submitted job = job("wk-1");
+    rules.answered("wk-1", job, 0, 201, "queued");
+    rules.answered("wk-1", job, 0, 404, "");
+    rules.answered("wk-1", job, 0, 422, "");
+    broken("forgotten", "forgotten");
+  }
+
+  @Test
+  void noQuestionIsAnsweredForTooLong() {
+    Scenario.Submitted job = job("wk-1");
+    rules.polled(job, 200, 0);
+    world.runUntil(74);
+    rules.polled(job, 503, 0);
+    broken();
+    world.runUntil(76);
+    rules.polled(job, 503, world.now());
+    broken();
+    rules.polled(job, 503, 0);
+    broken("forgotten");
+  }
+
+  @Test
+  void invented() {
+    rules.answered("wk-1", null, 0, 200, "queued");
+    broken("invented");
+  }
+
+  @Test
+  void notDone() {
+    Scenario.Submitted job = job("wk-1");
+    rules.answered("wk-1", job, 0, 200, "done");
+    broken("not_done");
+  }
+
+  @Test
+  void wentBack() {
+    Scenario.Submitted job = job("wk-1");
+    job.finished.add("wk-1/0");
+    long overlapping = world.now();
+    rules.answered("wk-1", job, overlapping, 200, "done");
+    rules.answered("wk-1", job, overlapping, 200, "running");
+    broken();
+    rules.answered("wk-1", job, world.now() + 1, 200, "running");
+    rules.answered("wk-1", job, overlapping, 200, "aborted");
+    // The last one is also called cancelled, which nobody asked for.
+    broken("went_back", "went_back", "went_back");
+  }
+
+  @Test
+  void leftWaitingBesideRoom() {
+    Scenario.Submitted job = job("wk-1");
+    rules.answered("wk-1", job, 0, 201, "queued");
+    machine("a", false);
+    world.runUntil(89);
+    broken();
+    world.runUntil(92);
+    broken("left_waiting");
+  }
+
+  @Test
+  void withoutRoomItMayWait() {
+    Scenario.Submitted job = job("wk-1");
+    job.zone = "b";
+    rules.answered("wk-1", job, 0, 201, "queued");
+    machine("a", false);
+    world.runUntil(200);
+    broken();
+  }
+
+  @Test
+  void halfOfEachClassAndTeamIsServed() {
+    for (int i = 0; i < 3; i++) {
+      Scenario.Submitted job = job("wk-" + i);
+      job.jobClass = i == 0 ? "rare" : "usual";
+      job.team = i == 0 ? "blue" : "red";
+      job.beganAt = i == 0 ? -1 : world.now();
+      rules.answered(job.id, job, 0, 201, "queued");
+    }
+    world.runUntil(100);
+    rules.served(60);
+    broken("unserved", "unserved", "unserved");
+  }
+
+  @Test
+  void theLargestBeginsWithinFourMinutes() {
+    Scenario.Submitted large = job("wk-1");
+    large.tasks = 10;
+    rules.answered("wk-1", large, 0, 201, "queued");
+    for (int i = 2; i < 5; i++) {
+      Scenario.Submitted small = job("wk-" + i);
+      small.beganAt = world.now();
+      rules.answered(small.id, small, 0, 201, "queued");
+    }
+    world.runUntil(250);
+    rules.served(60);
+    broken("unserved", "unserved");
+  }
+
+  @Test
+  void whatCanNeverRunIsNotAccepted() {
+    rules.answeredOdd("a job", 201, 422);
+    rules.answeredOdd("a job", 400, 422);
+    rules.answeredOdd("a job", 503, 422);
+    broken("accepted", "accepted");
+  }
+}
--- a/src/test/java/org/sandford/scenario/SimHttp.java
+++ b/src/test/java/org/sandford/scenario/SimHttp.java
@@ -21,6 +21,9 @@
 
   @Override
   public void send(String address, String method, String path, byte[] body, long timeoutMs, Consumer<Reply> done) {
+    if (path.equals("/commands")) {
+      world.ordersSent.accept(Json.read(body).path("orders"));
+    }
     String target = address.substring(0, address.indexOf(':'));
     boolean[] over = {false};
     Consumer<Reply> once =
