--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -15,15 +15,22 @@
   /** Seconds added to bounds that end in a kill: timers go off late when the processor is short. */
   public static final double KILL_MARGIN_S = 1.5;
 
-  /** Milliseconds for which events gather while many come: far below what users and workers wait for. */
+  /**
+   * Milliseconds for which events gather while many come: far below what users and workers wait
+   * for.
+   */
   public static final int PACE_MS = 20;
 
   /** Times that pace between two rounds of events above which events count as few. */
   public static final int PACE_BELOW = 2;
 
-  // --- share: hold, leadership, map ---------------------------------------------------------------
+  // --- share: hold, leadership, map
+  // ---------------------------------------------------------------
 
-  /** Milliseconds a hold lasts: short enough to notice a lost controller, long enough for a slow store. */
+  /**
+   * Milliseconds a hold lasts: short enough to notice a lost controller, long enough for a slow
+   * store.
+   */
   public static final int HOLD_TTL_MS = 3_000;
 
   /** Milliseconds between renewals: three fit into a hold, so that one may be lost. */
@@ -32,7 +39,9 @@
   /** Milliseconds waited for one renewal before the next is sent. */
   public static final int HOLD_CALL_MS = 800;
 
-  /** Milliseconds taken off the end of a hold before acting on it: work that is already under way. */
+  /**
+   * Milliseconds taken off the end of a hold before acting on it: work that is already under way.
+   */
   public static final int HOLD_MARGIN_MS = 250;
 
   /** Milliseconds the store may hold a watch open; each answer proves the watch is fresh. */
@@ -50,51 +59,80 @@
   /** Milliseconds a leader that is alone waits for others before it takes over everything. */
   public static final int LEADER_ALONE_MS = 500;
 
-  /** Machines the leader moves between shares in one go at the least: each move costs a new token. */
+  /**
+   * Machines the leader moves between shares in one go at the least: each move costs a new token.
+   */
   public static final int MACHINES_MOVED_AT_ONCE = 3;
 
-  /** Share of a surplus that is moved in one go: a large fleet is level after as many moves as a small one. */
+  /**
+   * Share of a surplus that is moved in one go: a large fleet is level after as many moves as a
+   * small one.
+   */
   public static final double SURPLUS_MOVED_AT_ONCE = 0.34;
 
-  /** Milliseconds between two ordinary writes of the map at the least: what arrives within goes together. */
+  /**
+   * Milliseconds between two ordinary writes of the map at the least: what arrives within goes
+   * together.
+   */
   public static final int MAP_PAUSE_MS = 250;
 
-  /** Share of the store's changes that ordinary writes of the map may use; records need the rest. */
+  /**
+   * Share of the store's changes that ordinary writes of the map may use; records need the rest.
+   */
   public static final double MAP_RATE_SHARE = 0.4;
 
-  /** Milliseconds that an ordinary write of the map waits at the most for the store to have rate to spare. */
+  /**
+   * Milliseconds that an ordinary write of the map waits at the most for the store to have rate to
+   * spare.
+   */
   public static final int MAP_LATE_MS = 2_000;
 
-  /** Bytes of one machine in its part of the map: name, generation, address and two places in tables. */
+  /**
+   * Bytes of one machine in its part of the map: name, generation, address and two places in
+   * tables.
+   */
   public static final int MAP_ENTRY_BYTES = 56;
 
-  /** Share of the store's value limit up to which a part of the map is filled; tables take the rest. */
+  /**
+   * Share of the store's value limit up to which a part of the map is filled; tables take the rest.
+   */
   public static final double MAP_PART_FILL = 0.8;
 
-  /** Share of the store's value limit above which a part of the map is split: new owners make it a little larger. */
+  /**
+   * Share of the store's value limit above which a part of the map is split: new owners make it a
+   * little larger.
+   */
   public static final double MAP_SPLIT_SHARE = 0.9;
 
   /** Milliseconds between two moves: the shares' owners report their room in between. */
   public static final int MOVE_PAUSE_MS = 4_000;
 
   /**
-   * The version of stored records that this program reads and writes. 1 knows arrays and services only and is not
-   * announced; 2 knows gangs.
+   * The version of stored records that this program reads and writes. 1 knows arrays and services
+   * only and is not announced; 2 knows gangs.
    */
   public static final int RECORD_VERSION = 2;
 
   /** The first version of records in which a job may be a gang. */
   public static final int RECORD_VERSION_GANGS = 2;
 
-  /** Milliseconds between two looks at the versions that the controllers announced, until all know this one. */
+  /**
+   * Milliseconds between two looks at the versions that the controllers announced, until all know
+   * this one.
+   */
   public static final int VERSIONS_LOOK_MS = 2_000;
 
-  // --- state service ------------------------------------------------------------------------------
+  // --- state service
+  // ------------------------------------------------------------------------------
 
-  /** Share of the store's rates one controller allows itself; bursts of one rarely meet the others'. */
+  /**
+   * Share of the store's rates one controller allows itself; bursts of one rarely meet the others'.
+   */
   public static final double STATE_RATE_SHARE = 0.6;
 
-  /** Milliseconds waited for an ordinary answer of the store: now and then it takes a few hundred. */
+  /**
+   * Milliseconds waited for an ordinary answer of the store: now and then it takes a few hundred.
+   */
   public static final int STATE_CALL_MS = 1_500;
 
   /** Milliseconds before a request that the store refused (429, 503) is sent again. */
@@ -103,13 +141,19 @@
   /** Share of a full bucket that is enough for a request of any size to go. */
   public static final double BUCKET_ENOUGH_SHARE = 0.25;
 
-  /** Times a request is sent at the most that the store refuses for its rate: it was not carried out. */
+  /**
+   * Times a request is sent at the most that the store refuses for its rate: it was not carried
+   * out.
+   */
   public static final int STATE_BUSY_TRIES = 5;
 
   /** Share of a second's changes that must be left over before writes go that can wait. */
   public static final double STATE_SPARE_SHARE = 0.5;
 
-  /** Bytes of a transaction's body that are used of the protocol's 64 KiB; the rest is for its frame. */
+  /**
+   * Bytes of a transaction's body that are used of the protocol's 64 KiB; the rest is for its
+   * frame.
+   */
   public static final int TXN_BYTES = 56 * 1024;
 
   /** Transactions of job records in flight at once: more would only wait in the store. */
@@ -118,7 +162,8 @@
   /** Items asked for in one listing of the store, the protocol's most. */
   public static final int STORE_PAGE = 1_000;
 
-  // --- peers ----------------------------------------------------------------------------------------
+  // --- peers
+  // ----------------------------------------------------------------------------------------
 
   /** Milliseconds between two signs of life on a peer link. */
   public static final int PEER_BEAT_MS = 700;
@@ -141,14 +186,22 @@
   /** Bytes queued for a peer that does not read, after which the link is closed. */
   public static final int PEER_BACKLOG_BYTES = 2 * 1024 * 1024;
 
-  // --- cancellations --------------------------------------------------------------------------------
+  // --- cancellations
+  // --------------------------------------------------------------------------------
 
-  /** Cancellations told to users that are kept for other controllers to read: many minutes' worth. */
+  /**
+   * Cancellations told to users that are kept for other controllers to read: many minutes' worth.
+   */
   public static final int CANCELLATIONS_KEPT = 4_096;
-  /** Seconds for which the end of a job is surely remembered: longer than any of its tasks can go on. */
+
+  /**
+   * Seconds for which the end of a job is surely remembered: longer than any of its tasks can go
+   * on.
+   */
   public static final double ENDS_REMEMBERED_S = 300.0;
 
-  // --- users ------------------------------------------------------------------------------------------
+  // --- users
+  // ------------------------------------------------------------------------------------------
 
   /** Bytes of a request body, the protocol's most. */
   public static final int BODY_BYTES = 64 * 1024;
@@ -156,7 +209,9 @@
   /** Tasks of one job, the protocol's most. */
   public static final int MAX_TASKS = 100_000;
 
-  /** Milliseconds a forwarded call may take before another way is tried; the owner usually needs 20. */
+  /**
+   * Milliseconds a forwarded call may take before another way is tried; the owner usually needs 20.
+   */
   public static final int FORWARD_MS = 700;
 
   /** Seconds in {@code Retry-After} when authority is missing: about the time of a takeover. */
@@ -174,19 +229,29 @@
   /** Entries of the cache that tells which team a job belongs to. */
   public static final int TEAMS_CACHED = 20_000;
 
-  /** Share of the sockets for commands to workers: those of a share fit, and a takeover goes in turns. */
+  /**
+   * Share of the sockets for commands to workers: those of a share fit, and a takeover goes in
+   * turns.
+   */
   public static final double SOCKETS_TO_WORKERS = 0.25;
 
   /** Sockets kept back for peers, the store, the cloud and what is just being closed. */
   public static final int SOCKETS_RESERVED = 48;
 
-  /** Share of the users' and workers' connections that workers may keep open; the rest is left to users. */
+  /**
+   * Share of the users' and workers' connections that workers may keep open; the rest is left to
+   * users.
+   */
   public static final double SOCKETS_OF_WORKERS = 0.75;
 
-  /** Connections beyond the room that are still answered and then closed; fewer than are reserved. */
+  /**
+   * Connections beyond the room that are still answered and then closed; fewer than are reserved.
+   */
   public static final int SOCKETS_OVERDRAWN = 24;
 
-  /** Connections that may wait to be taken: after a takeover a whole fleet comes within a second. */
+  /**
+   * Connections that may wait to be taken: after a takeover a whole fleet comes within a second.
+   */
   public static final int BACKLOG = 1_024;
 
   /** Where workers' reports go, which tells their connections from users'. */
@@ -195,7 +260,8 @@
   /** Sockets when the facts name no limit. */
   public static final int DEFAULT_SOCKETS = 1_024;
 
-  // --- workers ------------------------------------------------------------------------------------------
+  // --- workers
+  // ------------------------------------------------------------------------------------------
 
   /** Report periods of silence after which a machine counts as lost in any case. */
   public static final double LOST_PERIODS = 3.5;
@@ -218,21 +284,30 @@
   /** Fencing tokens of one generation: an owner may raise its token so often by itself. */
   public static final long TOKENS_PER_GENERATION = 1L << 16;
 
-  /** Seconds a silent machine of a former owner must be left before its tasks are surely over, beyond cancel_s. */
+  /**
+   * Seconds a silent machine of a former owner must be left before its tasks are surely over,
+   * beyond cancel_s.
+   */
   public static final double FOREIGN_LEASE_EXTRA_S = 2.0;
 
-  /** Milliseconds between two listings of open jobs for tasks of unknown jobs: a takeover asks for many. */
+  /**
+   * Milliseconds between two listings of open jobs for tasks of unknown jobs: a takeover asks for
+   * many.
+   */
   public static final int LEARN_PAUSE_MS = 700;
 
-  /** Distinct jobs that must fail on a machine, with none done in between, until it counts as faulty. */
+  /**
+   * Distinct jobs that must fail on a machine, with none done in between, until it counts as
+   * faulty.
+   */
   public static final int FAULTY_JOBS = 2;
 
   /** Images remembered for a machine; the worker keeps the most recently used ones. */
   public static final int IMAGES_REMEMBERED = 24;
 
   /**
-   * Milliseconds between two publications of changed views: changes within are sent together. Each goes to
-   * every controller; users wait for seconds.
+   * Milliseconds between two publications of changed views: changes within are sent together. Each
+   * goes to every controller; users wait for seconds.
    */
   public static final int PUBLISH_MS = 120;
 
@@ -245,27 +320,39 @@
   /** Milliseconds in which all machines are told anew: what was missed is made up by then. */
   public static final int REFRESHED_MS = 30_000;
 
-  // --- jobs ------------------------------------------------------------------------------------------------
+  // --- jobs
+  // ------------------------------------------------------------------------------------------------
 
   /**
-   * Milliseconds after which finished tasks are stored: most jobs are done by then, and their end says
-   * it all. A task whose end is not stored is asked for again, and its worker's result is kept.
+   * Milliseconds after which finished tasks are stored: most jobs are done by then, and their end
+   * says it all. A task whose end is not stored is asked for again, and its worker's result is
+   * kept.
    */
   public static final int PROGRESS_MS = 8_000;
 
-  /** Milliseconds between two planning rounds at the least: what arrives within is planned together. */
+  /**
+   * Milliseconds between two planning rounds at the least: what arrives within is planned together.
+   */
   public static final int PLAN_MS = 40;
 
-  /** Share of the time that planning rounds may take; reports and users need the rest of the processor. */
+  /**
+   * Share of the time that planning rounds may take; reports and users need the rest of the
+   * processor.
+   */
   public static final double PLAN_TIME_SHARE = 0.1;
 
   /** Milliseconds between two looks through the fleet for tasks that may be stopped. */
   public static final int PREEMPT_LOOK_MS = 250;
 
-  /** Jobs that may look for others to stop in one planning round: each look goes through the fleet. */
+  /**
+   * Jobs that may look for others to stop in one planning round: each look goes through the fleet.
+   */
   public static final int PREEMPT_SEARCHES = 4;
 
-  /** Milliseconds between two looks at jobs that were stored for a team's owner and not taken up yet. */
+  /**
+   * Milliseconds between two looks at jobs that were stored for a team's owner and not taken up
+   * yet.
+   */
   public static final int ADDED_LOOK_MS = 1_000;
 
   /** Milliseconds between two checks that no open job of a team is unknown to its owner. */
@@ -283,13 +370,17 @@
   /** Milliseconds of the longest pause after failures: a job that fails everywhere costs little. */
   public static final int ERROR_BACKOFF_MAX_MS = 60_000;
 
-  /** Attempts of one team generation: the generation stands above them, so attempts rise for ever. */
+  /**
+   * Attempts of one team generation: the generation stands above them, so attempts rise for ever.
+   */
   public static final long ATTEMPTS_PER_GENERATION = 1L << 24;
 
   /** Milliseconds a job that asked for preemption waits before it asks again. */
   public static final int PREEMPT_PAUSE_MS = 1_500;
 
-  /** Milliseconds a machine keeps room that was made for a job: stopping and the next plan fit in. */
+  /**
+   * Milliseconds a machine keeps room that was made for a job: stopping and the next plan fit in.
+   */
   public static final int KEEP_ROOM_MS = 2_500;
 
   /** Seconds after which a job that waits for room for all its tasks has free room kept for it. */
@@ -299,8 +390,9 @@
   public static final int GATHER_MS = 1_800;
 
   /**
-   * Seconds after which a job that waits is started in parts, with the room that there is: users allow a job 90 s beside a machine
-   * that has room, of which the next looks and a machine's boot take some.
+   * Seconds after which a job that waits is started in parts, with the room that there is: users
+   * allow a job 90 s beside a machine that has room, of which the next looks and a machine's boot
+   * take some.
    */
   public static final double PARTS_AFTER_S = 60.0;
 
@@ -310,7 +402,8 @@
   /** Milliseconds between two replicas that one controller moves: each is down for a moment. */
   public static final int MOVE_REPLICA_MS = 1_500;
 
-  // --- gangs -------------------------------------------------------------------------------------------------
+  // --- gangs
+  // -------------------------------------------------------------------------------------------------
 
   /** Seconds a gang's task waits for the others when the facts say nothing: the usual setting. */
   public static final double DEFAULT_GANG_WAIT_S = 30.0;
@@ -319,27 +412,37 @@
   public static final double DEFAULT_GANG_PEER_S = 8.0;
 
   /**
-   * Share of {@code gang_wait_s} after which a gang that does not run yet is withdrawn: its tasks would exit one
-   * by one soon after, and occupy their machines until then.
+   * Share of {@code gang_wait_s} after which a gang that does not run yet is withdrawn: its tasks
+   * would exit one by one soon after, and occupy their machines until then.
    */
   public static final double GANG_START_SHARE = 0.8;
 
-  /** Seconds, beyond the grace, for an orderly stop of a gang before its tasks are stopped at once. */
+  /**
+   * Seconds, beyond the grace, for an orderly stop of a gang before its tasks are stopped at once.
+   */
   public static final double GANG_STOP_EXTRA_S = 2.0;
 
-  /** Milliseconds of the first pause after a gang's attempt that never ran; it doubles per failure in a row. */
+  /**
+   * Milliseconds of the first pause after a gang's attempt that never ran; it doubles per failure
+   * in a row.
+   */
   public static final int GANG_BACKOFF_MS = 300;
 
   /** Milliseconds of the longest such pause: users wait for the gang. */
   public static final int GANG_BACKOFF_MAX_MS = 5_000;
 
-  /** Milliseconds between two looks at gangs that have places: for late starts and stops to repeat. */
+  /**
+   * Milliseconds between two looks at gangs that have places: for late starts and stops to repeat.
+   */
   public static final int GANG_LOOK_MS = 500;
 
-  /** Seconds after which a gang that waits has free room kept for it; it needs all of it at once. */
+  /**
+   * Seconds after which a gang that waits has free room kept for it; it needs all of it at once.
+   */
   public static final double GANG_GATHER_AFTER_S = 2.0;
 
-  // --- placement -----------------------------------------------------------------------------------------------
+  // --- placement
+  // -----------------------------------------------------------------------------------------------
 
   /** Weight of the plan's cost against fitness; the design's starting value. */
   public static final double LAMBDA = 0.5;
@@ -347,7 +450,9 @@
   /** Cost of each machine of a plan beyond the first; the design's starting value. */
   public static final double COST_MACHINE = 1.0;
 
-  /** Cost of each zone of a plan beyond the first, standing for racks; the design's starting value. */
+  /**
+   * Cost of each zone of a plan beyond the first, standing for racks; the design's starting value.
+   */
   public static final double COST_ZONE = 4.0;
 
   /**
@@ -360,15 +465,16 @@
   public static final double COST_FETCH_ARRAY = 0.6;
 
   /**
-   * Cost, for work that may use spot machines, of an ordinary one: it is left to services, so that it
-   * can be emptied and given back. Not in the design, which knows no prices.
+   * Cost, for work that may use spot machines, of an ordinary one: it is left to services, so that
+   * it can be emptied and given back. Not in the design, which knows no prices.
    */
   public static final double COST_ORDINARY = 2.0;
 
   /** Amounts closer than this are equal: sums of decimal amounts are not exact. */
   public static final double EPSILON = 1e-6;
 
-  // --- capacity ---------------------------------------------------------------------------------------------------
+  // --- capacity
+  // ---------------------------------------------------------------------------------------------------
 
   /** Milliseconds between two looks at renting and returning. */
   public static final int CAPACITY_TICK_MS = 500;
@@ -406,7 +512,10 @@
   /** Seconds added to that: short boot times vary more. */
   public static final double BOOT_PATIENCE_S = 20.0;
 
-  /** Seconds an empty machine is kept: less than a boot, since keeping it longer costs more than a new one. */
+  /**
+   * Seconds an empty machine is kept: less than a boot, since keeping it longer costs more than a
+   * new one.
+   */
   public static final double IDLE_RETURN_S = 18.0;
 
   /** Milliseconds a machine may take to become empty before it is kept after all. */
@@ -439,7 +548,10 @@
   /** Machines that are silent at the least then: a few may well have died. */
   public static final int CUT_ZONE_LEAST = 5;
 
-  /** Milliseconds in which it shows whether a zone is silent as a whole: its other machines are asked meanwhile. */
+  /**
+   * Milliseconds in which it shows whether a zone is silent as a whole: its other machines are
+   * asked meanwhile.
+   */
   public static final int CUT_ZONE_DOUBT_MS = 2_500;
 
   /** Machines of a zone and a share that are lost when the zone's others are asked. */
@@ -448,7 +560,10 @@
   /** Milliseconds between two askings of a whole zone: each machine gets a question. */
   public static final int ZONE_PROBE_PAUSE_MS = 6_000;
 
-  /** Milliseconds for which a cut zone's machines are kept: cuts last a minute, and a dead zone costs no more. */
+  /**
+   * Milliseconds for which a cut zone's machines are kept: cuts last a minute, and a dead zone
+   * costs no more.
+   */
   public static final int CUT_ZONE_MS = 90_000;
 
   /** Milliseconds between two summaries in the log. */
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -27,8 +27,8 @@
 import org.sandford.share.Share;
 
 /**
- * The users' interface. It checks, answers at once what it can, and forwards the rest to the owner of
- * the job's team.
+ * The users' interface. It checks, answers at once what it can, and forwards the rest to the owner
+ * of the job's team.
  */
 public final class Api {
   private static final String SUBMIT = "submit";
@@ -116,7 +116,10 @@
     }
   }
 
-  /** Every answer to a user goes through here: the other controllers hear of a cancellation before its user does. */
+  /**
+   * Every answer to a user goes through here: the other controllers hear of a cancellation before
+   * its user does.
+   */
   private Consumer<Answer> told(Consumer<Answer> answer) {
     return a -> {
       if (a.status() == 200 && a.body().path("status").asText().equals("aborted")) {
@@ -137,10 +140,13 @@
   /** A controller can take requests when it may act itself, or reach another that may. */
   private Answer up() {
     boolean can = share.mapKnown() && (share.holdValid() || links.anyLive());
-    return can ? Answer.of(200, Json.object().put("status", "up")) : Answer.later(503, "not ready yet", 1);
+    return can
+        ? Answer.of(200, Json.object().put("status", "up"))
+        : Answer.later(503, "not ready yet", 1);
   }
 
-  // --- submissions -------------------------------------------------------------------------------------
+  // --- submissions
+  // -------------------------------------------------------------------------------------
 
   private void submit(byte[] bytes, Consumer<Answer> answer) {
     JsonNode body = Json.read(bytes);
@@ -153,7 +159,8 @@
       }
       JobParser.checkRunnable(spec, settings.facts().teams(), capacity.flavors());
       if (spec.gang() && !versions.allKnowGangs()) {
-        answer.accept(Answer.later(503, "not all controllers know gangs yet", Constants.RETRY_OVERLOAD_S));
+        answer.accept(
+            Answer.later(503, "not all controllers know gangs yet", Constants.RETRY_OVERLOAD_S));
         return;
       }
     } catch (JobParser.Refused refused) {
@@ -194,7 +201,8 @@
         });
   }
 
-  // --- polls and cancellations ---------------------------------------------------------------------------
+  // --- polls and cancellations
+  // ---------------------------------------------------------------------------
 
   private void poll(String id, Consumer<Answer> answer) {
     String ended = finals.get(id);
@@ -265,7 +273,8 @@
             case FINAL -> answer.accept(Answer.of(200, Jobs.finalStatus(id, found.state())));
             case OPEN -> forwardAbort(id, found.team(), answer);
             case NONE -> answer.accept(Answer.refuse(404, "no job has this id"));
-            case UNKNOWN -> answer.accept(Answer.later(503, "the job's state is not known just now", 1));
+            case UNKNOWN ->
+                answer.accept(Answer.later(503, "the job's state is not known just now", 1));
           }
         });
   }
@@ -275,10 +284,14 @@
         team,
         new UserCall(++calls, ABORT, id, ByteBuffer.allocate(0)),
         answer,
-        () -> answer.accept(Answer.later(503, "the team's owner does not answer", Constants.RETRY_AUTHORITY_S)));
+        () ->
+            answer.accept(
+                Answer.later(
+                    503, "the team's owner does not answer", Constants.RETRY_AUTHORITY_S)));
   }
 
-  // --- forwarding ------------------------------------------------------------------------------------------
+  // --- forwarding
+  // ------------------------------------------------------------------------------------------
 
   private void toOwner(String team, UserCall call, Consumer<Answer> answer, Runnable unreachable) {
     TeamOwner owner = share.teams().of().get(team);
@@ -308,7 +321,8 @@
         call,
         answer ->
             reply.accept(
-                new UserAnswer(call.call, answer.status(), Json.text(answer.body()), answer.retryAfterS())));
+                new UserAnswer(
+                    call.call, answer.status(), Json.text(answer.body()), answer.retryAfterS())));
   }
 
   private void serve(UserCall call, Consumer<Answer> answer) {
@@ -344,7 +358,8 @@
           if (found.status() == 404 || status.equals("done") || status.equals("aborted")) {
             answer.accept(found);
           } else {
-            answer.accept(Answer.later(503, "the job's owner is not ready", Constants.RETRY_AUTHORITY_S));
+            answer.accept(
+                Answer.later(503, "the job's owner is not ready", Constants.RETRY_AUTHORITY_S));
           }
         });
   }
--- a/src/main/java/org/sandford/api/JobParser.java
+++ b/src/main/java/org/sandford/api/JobParser.java
@@ -56,7 +56,8 @@
       }
       for (JsonNode kind : machineKinds) {
         if (!kind.isTextual()) {
-          throw new Refused(400, "machine_kinds: expected a list of machine types, or null for any");
+          throw new Refused(
+              400, "machine_kinds: expected a list of machine types, or null for any");
         }
         kinds.add(kind.asText());
       }
@@ -138,15 +139,18 @@
 
   private static int pieces(JsonNode body) throws Refused {
     JsonNode at = body.path("pieces");
-    if (!at.isIntegralNumber() || !at.canConvertToInt() || at.asInt() < 1 || at.asInt() > Constants.MAX_TASKS) {
+    if (!at.isIntegralNumber()
+        || !at.canConvertToInt()
+        || at.asInt() < 1
+        || at.asInt() > Constants.MAX_TASKS) {
       throw new Refused(400, "pieces: expected a whole number from 1 to " + Constants.MAX_TASKS);
     }
     return at.asInt();
   }
 
   /** Refuses what can never run. */
-  static void checkRunnable(JobSpec job, Map<String, Settings.Team> teams, Map<String, Flavor> flavors)
-      throws Refused {
+  static void checkRunnable(
+      JobSpec job, Map<String, Settings.Team> teams, Map<String, Flavor> flavors) throws Refused {
     Settings.Team team = teams.get(job.team());
     if (team == null) {
       throw new Refused(422, "there is no team " + job.team());
@@ -168,8 +172,13 @@
       throw new Refused(
           422,
           (allAtOnce ? "all tasks together need" : "one task needs")
-              + " more than the limit of team " + team.name()
-              + " (" + team.cpusMax() + " CPUs, " + team.gpusMax() + " accelerators)");
+              + " more than the limit of team "
+              + team.name()
+              + " ("
+              + team.cpusMax()
+              + " CPUs, "
+              + team.gpusMax()
+              + " accelerators)");
     }
     if (job.scatter() && job.tasks() > 1 && (job.together() || !job.zone().isEmpty())) {
       throw new Refused(422, "tasks that must be scattered over zones cannot all be in one zone");
--- a/src/main/java/org/sandford/cancel/Cancellations.java
+++ b/src/main/java/org/sandford/cancel/Cancellations.java
@@ -14,18 +14,19 @@
 import org.sandford.settings.Settings;
 
 /**
- * The bound on a cancelled job's tasks, and the one place that decides by it whether a worker's lease
- * may be renewed.
+ * The bound on a cancelled job's tasks, and the one place that decides by it whether a worker's
+ * lease may be renewed.
  *
- * <p>Every cancellation that a user may have been told of before {@link #knownUpTo} is known here, and its
- * tasks are stopped. One that was told of later may be unknown; its tasks end with their lease, which is
- * never renewed after {@code knownUpTo + cancel_s - lease_s - margin}. So they are gone within
- * {@code cancel_s} of its confirmation, whatever this controller can still hear.
+ * <p>Every cancellation that a user may have been told of before {@link #knownUpTo} is known here,
+ * and its tasks are stopped. One that was told of later may be unknown; its tasks end with their
+ * lease, which is never renewed after {@code knownUpTo + cancel_s - lease_s - margin}. So they are
+ * gone within {@code cancel_s} of its confirmation, whatever this controller can still hear.
  *
- * <p>There are two ways to know. The store's watches cover what the store held when they were opened. And
- * each controller keeps a log of what it told its users and shows it to the others: when all of them have
- * answered, nothing is missing, also while the store is away. An answer counts only if the assignment map
- * is as new here as it was there, so that nobody renews the leases of machines that another owns by then.
+ * <p>There are two ways to know. The store's watches cover what the store held when they were
+ * opened. And each controller keeps a log of what it told its users and shows it to the others:
+ * when all of them have answered, nothing is missing, also while the store is away. An answer
+ * counts only if the assignment map is as new here as it was there, so that nobody renews the
+ * leases of machines that another owns by then.
  */
 public final class Cancellations {
   /** Takes in a cancellation that another controller has confirmed: its record is stored. */
@@ -56,8 +57,10 @@
   private static final class Chain {
     private String life = "";
     private long seen;
+
     /** What its former lives have told may be missing here until the store was read after this. */
     private long begunAt;
+
     private long shownAt = Long.MIN_VALUE / 2;
     private long shownBefore = Long.MIN_VALUE / 2;
 
@@ -72,8 +75,12 @@
   private final Store store;
   private final Supplier<String> life;
   private final Map<String, Chain> chains = new LinkedHashMap<>();
-  /** What this controller has told users, in that order, the last of it with number {@link #logged}. */
+
+  /**
+   * What this controller has told users, in that order, the last of it with number {@link #logged}.
+   */
   private final Set<String> log = new LinkedHashSet<>();
+
   private final long bornAt;
   private long logged;
   private Listener listener;
@@ -94,9 +101,13 @@
     loop.every(Constants.PEER_BEAT_MS, this::askAll);
   }
 
-  // --- the bound --------------------------------------------------------------------------------------
+  // --- the bound
+  // --------------------------------------------------------------------------------------
 
-  /** Whether the lease of a worker may be renewed now; {@code described} if all its tasks' jobs were looked up. */
+  /**
+   * Whether the lease of a worker may be renewed now; {@code described} if all its tasks' jobs were
+   * looked up.
+   */
   public boolean mayRenew(boolean described) {
     Settings.Facts facts = settings.facts();
     long now = loop.nanos();
@@ -105,7 +116,8 @@
     if (now >= knownUpTo() + nanos(graceS)) {
       return false;
     }
-    // A task that was not looked up may be of a job that was cancelled before this controller knew anything;
+    // A task that was not looked up may be of a job that was cancelled before this controller knew
+    // anything;
     // it is gone by this bound of others once cancel_s has passed.
     double pastS = facts.cancelS() * (1 + Constants.CLOCK_DRIFT) + Constants.KILL_MARGIN_S;
     return described || now - store.endsKnownSince() > nanos(pastS);
@@ -128,9 +140,12 @@
     return (long) (seconds * 1e9);
   }
 
-  // --- what is told to users, and by whom ---------------------------------------------------------------
+  // --- what is told to users, and by whom
+  // ---------------------------------------------------------------
 
-  /** A user is about to be told that the job is cancelled: the others hear of it in the same moment. */
+  /**
+   * A user is about to be told that the job is cancelled: the others hear of it in the same moment.
+   */
   public void confirmed(String job) {
     if (!log.add(job)) {
       return;
@@ -144,10 +159,14 @@
 
   private void askAll() {
     chains.forEach(
-        (label, chain) -> peers.ask(label, new CancellationsAsked(loop.nanos(), chain.life, chain.seen)));
+        (label, chain) ->
+            peers.ask(label, new CancellationsAsked(loop.nanos(), chain.life, chain.seen)));
   }
 
-  /** What the asking controller lacks of the log, all of which was told before this answer; null before there is a life. */
+  /**
+   * What the asking controller lacks of the log, all of which was told before this answer; null
+   * before there is a life.
+   */
   public CancellationsTold asked(CancellationsAsked ask) {
     String mine = life.get();
     if (mine.isEmpty()) {
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -37,7 +37,9 @@
 public final class Capacity {
   private static final Logger log = LoggerFactory.getLogger(Capacity.class);
 
-  /** Machines of one kind in one zone, spot or ordinary: the cloud grants or refuses them together. */
+  /**
+   * Machines of one kind in one zone, spot or ordinary: the cloud grants or refuses them together.
+   */
   private record Pool(String kind, String zone, boolean spot) {}
 
   /** A rental request that was not answered yet. */
@@ -71,10 +73,13 @@
   private final Map<String, Long> notedAt = new HashMap<>();
   private final Map<String, Long> removedAt = new HashMap<>();
   private final Map<String, Long> movedAt = new HashMap<>();
+
   /** Zones of which several machines fell silent: until when it is open whether all of it did. */
   private final Map<String, Long> doubtUntil = new HashMap<>();
+
   /** Zones that fell silent as a whole, and when. */
   private final Map<String, Long> cutSince = new HashMap<>();
+
   private final Set<String> returning = new HashSet<>();
   private final Map<String, Long> vacatingSince = new HashMap<>();
   private final Map<String, Long> keptAt = new HashMap<>();
@@ -168,7 +173,8 @@
     }
   }
 
-  // --- the list ----------------------------------------------------------------------------------------
+  // --- the list
+  // ----------------------------------------------------------------------------------------
 
   private void list() {
     listing = true;
@@ -196,18 +202,26 @@
     if (place == null || (!place.seen() && up)) {
       share.addMachine(
           new Share.NewMachine(
-              machine.name(), up ? machine.address() : "", machine.kind(), machine.zone(), machine.spot()));
+              machine.name(),
+              up ? machine.address() : "",
+              machine.kind(),
+              machine.zone(),
+              machine.spot()));
     }
     Flavor flavor = flavors.get(machine.kind());
     boolean unseen = place == null || !place.seen();
-    if (!up && unseen && flavor != null
+    if (!up
+        && unseen
+        && flavor != null
         && machine.ageS() > flavor.bootS() * Constants.BOOT_PATIENCE + Constants.BOOT_PATIENCE_S) {
-      log.info("machine {} in zone {} never came up; it is given back", machine.name(), machine.zone());
+      log.info(
+          "machine {} in zone {} never came up; it is given back", machine.name(), machine.zone());
       giveBack(List.of(machine.name()));
     }
   }
 
-  // --- returning ------------------------------------------------------------------------------------------
+  // --- returning
+  // ------------------------------------------------------------------------------------------
 
   private void giveBack(List<String> names) {
     List<String> now = names.stream().filter(returning::add).limit(Constants.RETURN_MOST).toList();
@@ -281,7 +295,8 @@
         boolean ownerCutOff = n[1] >= 3 && n[1] * 2 > n[0] && byOwner.size() > 1;
         Long moved = movedAt.get(view.machine);
         if (ownerCutOff && (moved == null || now - moved > 60_000)) {
-          // Rather the owner than so many machines has lost the network: another one may reach them.
+          // Rather the owner than so many machines has lost the network: another one may reach
+          // them.
           String to = otherOwner(seen.owner());
           if (!to.isEmpty()) {
             movedAt.put(view.machine, now);
@@ -292,9 +307,12 @@
         if (moved != null && now - moved < 8_000) {
           continue;
         }
-        // Not released by its owner: while the cloud takes no returns, a machine that comes back serves.
+        // Not released by its owner: while the cloud takes no returns, a machine that comes back
+        // serves.
         lost.add(view.machine);
-      } else if (view.faulty && view.state == MachineState.UP && faulty < Constants.FAULTY_RETURNED_AT_ONCE) {
+      } else if (view.faulty
+          && view.state == MachineState.UP
+          && faulty < Constants.FAULTY_RETURNED_AT_ONCE) {
         faulty++;
         links.ask(seen.owner(), new Release(view.machine, true));
       }
@@ -304,14 +322,16 @@
   }
 
   /**
-   * A zone that falls silent nearly as a whole is rather cut off than dead. Its machines are neither given
-   * back nor replaced in the zone for a while: what was rented there instead could not be reached either,
-   * and services that must spread have no other zone. Tasks that may run elsewhere do once leases are over.
+   * A zone that falls silent nearly as a whole is rather cut off than dead. Its machines are
+   * neither given back nor replaced in the zone for a while: what was rented there instead could
+   * not be reached either, and services that must spread have no other zone. Tasks that may run
+   * elsewhere do once leases are over.
    */
   private void noteCutZones(Map<String, int[]> byZone, long now) {
     byZone.forEach(
         (zone, n) -> {
-          boolean silent = n[1] >= Constants.CUT_ZONE_LEAST && n[1] >= n[0] * Constants.CUT_ZONE_SHARE;
+          boolean silent =
+              n[1] >= Constants.CUT_ZONE_LEAST && n[1] >= n[0] * Constants.CUT_ZONE_SHARE;
           if (n[1] < Constants.CUT_ZONE_LEAST) {
             doubtUntil.remove(zone);
           } else {
@@ -321,7 +341,11 @@
           if (!silent) {
             cutSince.remove(zone);
           } else if (cutSince.putIfAbsent(zone, now) == null) {
-            log.info("zone {} is silent: {} of its {} machines are lost; it counts as cut off", zone, n[1], n[0]);
+            log.info(
+                "zone {} is silent: {} of its {} machines are lost; it counts as cut off",
+                zone,
+                n[1],
+                n[0]);
           }
         });
   }
@@ -338,7 +362,8 @@
       if (Share.labelOf(id).equals(label)) {
         continue;
       }
-      int size = (int) share.machines().of().values().stream().filter(m -> m.owner().equals(id)).count();
+      int size =
+          (int) share.machines().of().values().stream().filter(m -> m.owner().equals(id)).count();
       if (size < least) {
         least = size;
         best = id;
@@ -376,7 +401,9 @@
     double keep = Constants.HEADROOM_SHARE * total;
     idle.sort(
         Comparator.comparingDouble(
-            (Roster.Seen s) -> -price(flavors.get(s.view().kind), s.view().spot) / flavors.get(s.view().kind).cpus()));
+            (Roster.Seen s) ->
+                -price(flavors.get(s.view().kind), s.view().spot)
+                    / flavors.get(s.view().kind).cpus()));
     for (Roster.Seen seen : idle) {
       MachineView view = seen.view();
       double cpus = flavors.get(view.kind).cpus();
@@ -408,11 +435,13 @@
   }
 
   /**
-   * Empties machines whose work fits on the others: services stay for long, and a fleet that grew for
-   * a burst would be kept for a few of them on each machine.
+   * Empties machines whose work fits on the others: services stay for long, and a fleet that grew
+   * for a burst would be kept for a few of them on each machine.
    */
   private void vacate(long now) {
-    vacatingSince.keySet().removeIf(name -> roster.get(name) == null || !roster.get(name).view().vacating);
+    vacatingSince
+        .keySet()
+        .removeIf(name -> roster.get(name) == null || !roster.get(name).view().vacating);
     Map<String, Integer> ordinaryInZone = new HashMap<>();
     List<Roster.Seen> candidates = new ArrayList<>();
     Map<String, Room> rooms = new LinkedHashMap<>();
@@ -446,12 +475,14 @@
         ordinaryInZone.merge(view.zone, 1, Integer::sum);
       }
       boolean light = used > 0 && used <= room.cpus * Constants.VACATE_BELOW;
-      if (light && now - keptAt.getOrDefault(view.machine, -1_000_000L) > 2L * Constants.VACATE_MS) {
+      if (light
+          && now - keptAt.getOrDefault(view.machine, -1_000_000L) > 2L * Constants.VACATE_MS) {
         candidates.add(seen);
       }
     }
     keptAt.keySet().removeIf(name -> roster.get(name) == null);
-    int atOnce = Math.max(Constants.VACATED_AT_ONCE, (int) (rooms.size() * Constants.VACATED_SHARE));
+    int atOnce =
+        Math.max(Constants.VACATED_AT_ONCE, (int) (rooms.size() * Constants.VACATED_SHARE));
     if (vacating >= atOnce || !demandNow(now).isEmpty() || !hires.isEmpty()) {
       return;
     }
@@ -519,7 +550,8 @@
     return any;
   }
 
-  // --- renting -----------------------------------------------------------------------------------------------
+  // --- renting
+  // -----------------------------------------------------------------------------------------------
 
   private static double price(Flavor flavor, boolean spot) {
     return spot ? flavor.spotPrice() : flavor.price();
@@ -533,7 +565,8 @@
             all.addAll(told.classes);
           }
         });
-    all.sort(Comparator.comparingInt((DemandClass d) -> d.rank).thenComparingDouble(d -> -d.waitedS));
+    all.sort(
+        Comparator.comparingInt((DemandClass d) -> d.rank).thenComparingDouble(d -> -d.waitedS));
     return all;
   }
 
@@ -582,8 +615,24 @@
 
   private static Need need(DemandClass d) {
     return new Need(
-        "", d.rank, 0, d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing, false,
-        d.total, d.held, Set.of(), Set.of(), "");
+        "",
+        d.rank,
+        0,
+        d.cpus,
+        d.gpus,
+        d.ram,
+        Set.copyOf(d.kinds),
+        d.zone,
+        d.reclaimable,
+        d.together,
+        d.scatter,
+        d.standing,
+        false,
+        d.total,
+        d.held,
+        Set.of(),
+        Set.of(),
+        "");
   }
 
   private void rent(long now) {
@@ -594,7 +643,10 @@
     rooms.forEach(room -> crowd.merge(room.zone, room.cpus, Double::sum));
     Map<Pool, Integer> wanted = new LinkedHashMap<>();
     wantedRooms.clear();
-    int machines = share.machines().of().size() + share.adding().size() + hires.values().stream().mapToInt(h -> h.number).sum();
+    int machines =
+        share.machines().of().size()
+            + share.adding().size()
+            + hires.values().stream().mapToInt(h -> h.number).sum();
     int most = settings.operators().maxMachines() - machines;
     for (DemandClass d : demandNow(now)) {
       Need need = inItsZone(need(d), d.tasks, rooms, crowd, now);
@@ -620,7 +672,10 @@
     }
     if (wanted.isEmpty()) {
       // Ordinary machines, since the work that may wait least runs on no others.
-      Need any = new Need("", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
+      Need any =
+          new Need(
+              "", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, false, 1, Map.of(),
+              Set.of(), Set.of(), "");
       while (free < Constants.HEADROOM_SHARE * total && most > 0) {
         Pool pool = cheapest(any, 4, crowd, now);
         if (pool == null) {
@@ -636,7 +691,12 @@
   }
 
   /** Counts one more machine of the pool among those to be rented, and among the rooms. */
-  private Room want(Pool pool, int number, Map<Pool, Integer> wanted, Map<String, Double> crowd, List<Room> rooms) {
+  private Room want(
+      Pool pool,
+      int number,
+      Map<Pool, Integer> wanted,
+      Map<String, Double> crowd,
+      List<Room> rooms) {
     Room fresh = room("new/" + number, pool.kind, pool.zone, pool.spot);
     wanted.merge(pool, 1, Integer::sum);
     crowd.merge(pool.zone, fresh.cpus, Double::sum);
@@ -645,10 +705,12 @@
   }
 
   /**
-   * The need of a job whose tasks must be together, with the one zone in which it is supplied: the one that it has, or
-   * the one with the most room in which the rest can be rented. What is rented in several zones would stand idle.
+   * The need of a job whose tasks must be together, with the one zone in which it is supplied: the
+   * one that it has, or the one with the most room in which the rest can be rented. What is rented
+   * in several zones would stand idle.
    */
-  private Need inItsZone(Need need, int count, List<Room> rooms, Map<String, Double> crowd, long now) {
+  private Need inItsZone(
+      Need need, int count, List<Room> rooms, Map<String, Double> crowd, long now) {
     if (!need.together() || !need.zone().isEmpty()) {
       return need;
     }
@@ -674,8 +736,8 @@
   }
 
   /**
-   * Fills the rooms with up to {@code count} tasks and returns how many found one. It only tells what
-   * has to be rented, so it does without the score: a look at each room for a whole class.
+   * Fills the rooms with up to {@code count} tasks and returns how many found one. It only tells
+   * what has to be rented, so it does without the score: a look at each room for a whole class.
    */
   private int fill(Need need, int count, List<Room> rooms) {
     Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
@@ -739,7 +801,12 @@
   private void hire(Pool pool, int number, long now) {
     Hire hire = new Hire(share.newHireName(), pool, number, now);
     hires.put(hire.name, hire);
-    log.info("renting {} {} {} in zone {}", number, pool.spot ? "spot" : "ordinary", pool.kind, pool.zone);
+    log.info(
+        "renting {} {} {} in zone {}",
+        number,
+        pool.spot ? "spot" : "ordinary",
+        pool.kind,
+        pool.zone);
     send(hire);
   }
 
@@ -762,7 +829,8 @@
             hosts.forEach(
                 host ->
                     share.addMachine(
-                        new Share.NewMachine(host, "", hire.pool.kind, hire.pool.zone, hire.pool.spot)));
+                        new Share.NewMachine(
+                            host, "", hire.pool.kind, hire.pool.zone, hire.pool.spot)));
           }
           if (how == Hired.NO_CAPACITY || (how == Hired.RENTED && hosts.size() < hire.number)) {
             pausedUntil.put(hire.pool, now + Constants.POOL_PAUSE_MS);
--- a/src/main/java/org/sandford/cli/Main.java
+++ b/src/main/java/org/sandford/cli/Main.java
@@ -32,7 +32,8 @@
   @Option(
       names = "--rehearse",
       hidden = true,
-      description = "Load what a start needs, then exit; the build makes the class-data archive so.")
+      description =
+          "Load what a start needs, then exit; the build makes the class-data archive so.")
   private boolean rehearse;
 
   public static void main(String[] args) {
--- a/src/main/java/org/sandford/cli/Rehearsal.java
+++ b/src/main/java/org/sandford/cli/Rehearsal.java
@@ -23,8 +23,8 @@
 import org.sandford.settings.SettingsLoader;
 
 /**
- * Loads the classes that a start needs, for the class-data archive that the build makes: a controller
- * runs for a moment on the loopback interface against itself.
+ * Loads the classes that a start needs, for the class-data archive that the build makes: a
+ * controller runs for a moment on the loopback interface against itself.
  */
 final class Rehearsal {
   private static final String SETTINGS =
@@ -96,7 +96,8 @@
 
   private static void rehearse(Settings settings) throws InterruptedException {
     NettyLoop loop = new NettyLoop();
-    NettyPeers peers = new NettyPeers(loop, settings.peerListen().host(), settings.peerListen().port());
+    NettyPeers peers =
+        new NettyPeers(loop, settings.peerListen().host(), settings.peerListen().port());
     NettyHttpClient http = new NettyHttpClient(loop, Set.of(), 100);
     Controller controller = new Controller(loop, settings, http, peers);
     NettyHttpServer server =
@@ -115,7 +116,11 @@
     loop.execute(controller::start);
     CountDownLatch over = new CountDownLatch(1);
     http.send(
-        settings.listen().toString(), "POST", "/work", new byte[] {'{', '}'}, 1_000,
+        settings.listen().toString(),
+        "POST",
+        "/work",
+        new byte[] {'{', '}'},
+        1_000,
         reply -> loop.after(1_500, over::countDown));
     over.await(10, TimeUnit.SECONDS);
     loop.shutdown();
@@ -124,12 +129,21 @@
   /** Enough of a store and a cloud for a controller to join and look around. */
   private static ObjectNode storeAnswer(String path) {
     ObjectNode answer = Json.object().put("epoch", 1).put("permit", 1).put("more", false);
-    if (path.startsWith("/store?") || path.equals("/txn") || path.startsWith("/holds") || path.startsWith("/machines")) {
+    if (path.startsWith("/store?")
+        || path.equals("/txn")
+        || path.startsWith("/holds")
+        || path.startsWith("/machines")) {
       answer.putArray("entries");
       return answer;
     }
     if (path.equals("/flavors")) {
-      answer.putArray("machine_kinds").addObject().put("sku", "k").put("vcpus", 1).putArray("sites").add("z");
+      answer
+          .putArray("machine_kinds")
+          .addObject()
+          .put("sku", "k")
+          .put("vcpus", 1)
+          .putArray("sites")
+          .add("z");
       return answer;
     }
     return null;
--- a/src/main/java/org/sandford/cloud/CloudClient.java
+++ b/src/main/java/org/sandford/cloud/CloudClient.java
@@ -18,7 +18,13 @@
 public final class CloudClient {
   /** A machine as the lagging list shows it. */
   public record Listed(
-      String name, String address, String kind, String zone, boolean spot, String status, double ageS) {}
+      String name,
+      String address,
+      String kind,
+      String zone,
+      boolean spot,
+      String status,
+      double ageS) {}
 
   /** How a rental request ended. */
   public enum Hired {
@@ -77,13 +83,20 @@
                 Constants.CLOUD_CALL_MS,
                 reply -> {
                   List<Flavor> flavors = new ArrayList<>();
-                  Json.read(reply.body()).path("machine_kinds").forEach(n -> flavors.add(Flavor.read(n)));
+                  Json.read(reply.body())
+                      .path("machine_kinds")
+                      .forEach(n -> flavors.add(Flavor.read(n)));
                   done.accept(reply.ok() && !flavors.isEmpty() ? List.copyOf(flavors) : null);
                 }));
   }
 
   public void hire(
-      String name, String kind, String zone, boolean spot, int number, java.util.function.BiConsumer<Hired, List<String>> done) {
+      String name,
+      String kind,
+      String zone,
+      boolean spot,
+      int number,
+      java.util.function.BiConsumer<Hired, List<String>> done) {
     ObjectNode body =
         Json.object()
             .put("hire", name)
@@ -140,8 +153,11 @@
 
   private void listFrom(String since, List<Listed> sofar, Consumer<List<Listed>> done) {
     String path =
-        "/machines?limit=" + Constants.LIST_PAGE
-            + (since.isEmpty() ? "" : "&since=" + java.net.URLEncoder.encode(since, StandardCharsets.UTF_8));
+        "/machines?limit="
+            + Constants.LIST_PAGE
+            + (since.isEmpty()
+                ? ""
+                : "&since=" + java.net.URLEncoder.encode(since, StandardCharsets.UTF_8));
     enqueue(
         () ->
             http.send(
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -16,9 +16,9 @@
 import org.sandford.machine.Fleet;
 import org.sandford.machine.Roster;
 import org.sandford.peer.PeerLinks;
-import org.sandford.peer.wire.Cancelled;
 import org.sandford.peer.wire.CancellationsAsked;
 import org.sandford.peer.wire.CancellationsTold;
+import org.sandford.peer.wire.Cancelled;
 import org.sandford.peer.wire.Claim;
 import org.sandford.peer.wire.Claimed;
 import org.sandford.peer.wire.ClearTask;
@@ -68,7 +68,8 @@
     this.settings = settings;
     Settings.Facts facts = settings.facts();
     StateClient state =
-        new StateClient(loop, http, settings.state().toString(), facts.stateRps(), facts.stateWriteRps());
+        new StateClient(
+            loop, http, settings.state().toString(), facts.stateRps(), facts.stateWriteRps());
     CloudClient cloud = new CloudClient(loop, http, settings.cloud().toString(), facts.cloudRps());
     finals = new Finals(loop);
     JobStore store = new JobStore(loop, state);
@@ -77,14 +78,45 @@
     links = new PeerLinks(loop, settings, peers, share::incarnation);
     cancellations = new Cancellations(loop, settings, links, share, share::id);
     roster = new Roster(loop, share);
-    fleet = new Fleet(loop, settings, share, cancellations, http, links, store, this::flavor, finals::contains, roster);
+    fleet =
+        new Fleet(
+            loop,
+            settings,
+            share,
+            cancellations,
+            http,
+            links,
+            store,
+            this::flavor,
+            finals::contains,
+            roster);
     jobs =
         new Jobs(
-            loop, settings, share, links, roster,
-            new RecordWriter(loop, state, facts.stateTxnOps()), store, finals, lookup, this::flavor);
+            loop,
+            settings,
+            share,
+            links,
+            roster,
+            new RecordWriter(loop, state, facts.stateTxnOps()),
+            store,
+            finals,
+            lookup,
+            this::flavor);
     capacity = new Capacity(loop, settings, share, cloud, links, roster, jobs::demand);
     versions = new MemberVersions(loop, settings, state);
-    api = new Api(loop, settings, share, links, jobs, fleet, finals, lookup, capacity, cancellations, versions);
+    api =
+        new Api(
+            loop,
+            settings,
+            share,
+            links,
+            jobs,
+            fleet,
+            finals,
+            lookup,
+            capacity,
+            cancellations,
+            versions);
   }
 
   private org.sandford.cloud.Flavor flavor(String kind) {
@@ -121,8 +153,11 @@
       links.ask(share.leaderLabel(), new Demand(new ArrayList<>(jobs.demand())));
     }
     links.publish(PeerLinks.beat(share.holdValid()));
-    share.teamsToSpread()
-        .forEach((team, owner) -> links.ask(Share.labelOf(owner.owner()), new Yield(team, owner.generation())));
+    share
+        .teamsToSpread()
+        .forEach(
+            (team, owner) ->
+                links.ask(Share.labelOf(owner.owner()), new Yield(team, owner.generation())));
   }
 
   private void summary() {
@@ -137,7 +172,8 @@
     api.submitMillis().reset();
   }
 
-  // --- the share --------------------------------------------------------------------------------------
+  // --- the share
+  // --------------------------------------------------------------------------------------
 
   @Override
   public void mapChanged() {
@@ -170,7 +206,8 @@
     fleet.finalsMissed();
   }
 
-  // --- peers --------------------------------------------------------------------------------------------
+  // --- peers
+  // --------------------------------------------------------------------------------------------
 
   @Override
   public Iterable<Object> greeting() {
--- a/src/main/java/org/sandford/core/HttpCalls.java
+++ b/src/main/java/org/sandford/core/HttpCalls.java
@@ -18,5 +18,11 @@
   }
 
   /** Calls back exactly once, on the loop. */
-  void send(String address, String method, String path, byte[] body, long timeoutMs, Consumer<Reply> done);
+  void send(
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<Reply> done);
 }
--- a/src/main/java/org/sandford/core/Loop.java
+++ b/src/main/java/org/sandford/core/Loop.java
@@ -24,8 +24,8 @@
   }
 
   /**
-   * Runs again and again, each time so many milliseconds after the last run ended, even if that failed:
-   * a fault in one look must not be the last look.
+   * Runs again and again, each time so many milliseconds after the last run ended, even if that
+   * failed: a fault in one look must not be the last look.
    */
   default void every(long millis, Runnable what) {
     after(
--- a/src/main/java/org/sandford/core/TokenBucket.java
+++ b/src/main/java/org/sandford/core/TokenBucket.java
@@ -29,7 +29,8 @@
 
   /**
    * Whether {@code count} may go now. Many at once may go as soon as some of them might, and what
-   * follows waits for the rest: a large one that waited for a full bucket would be starved by small ones.
+   * follows waits for the rest: a large one that waited for a full bucket would be starved by small
+   * ones.
    */
   public boolean allows(double count) {
     return holds(enoughFor(count));
--- a/src/main/java/org/sandford/job/Finals.java
+++ b/src/main/java/org/sandford/job/Finals.java
@@ -11,8 +11,9 @@
 import org.sandford.core.Loop;
 
 /**
- * Final answers, which never change and may be kept by anybody. A miss here means nothing, but for ends that were
- * told lately: the cache may drop any entry, and a job that just ended must not look as if it had not.
+ * Final answers, which never change and may be kept by anybody. A miss here means nothing, but for
+ * ends that were told lately: the cache may drop any entry, and a job that just ended must not look
+ * as if it had not.
  */
 public final class Finals {
   /** The final record of a job that was cancelled. */
--- a/src/main/java/org/sandford/job/Gang.java
+++ b/src/main/java/org/sandford/job/Gang.java
@@ -1,9 +1,9 @@
 package org.sandford.job;
 
 /**
- * The state of one gang, a job whose tasks all run at the same time or none does. A gang runs in attempts: all tasks
- * of one attempt carry the same number, by which the workers match them, and the next attempt begins only when every
- * task of the former is surely gone from its machine.
+ * The state of one gang, a job whose tasks all run at the same time or none does. A gang runs in
+ * attempts: all tasks of one attempt carry the same number, by which the workers match them, and
+ * the next attempt begins only when every task of the former is surely gone from its machine.
  *
  * <p>It holds state only; {@link Gangs} decides when it changes.
  */
@@ -20,7 +20,9 @@
     RUNNING,
     /** All tasks were told to save and to stop. */
     STOPPING,
-    /** The attempt is over; what is left of it is stopped at once, and its places are still held. */
+    /**
+     * The attempt is over; what is left of it is stopped at once, and its places are still held.
+     */
     DRAINING,
     /** All tasks are done. */
     DONE
--- a/src/main/java/org/sandford/job/Gangs.java
+++ b/src/main/java/org/sandford/job/Gangs.java
@@ -11,12 +11,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps the gangs of this controller's teams whole. It looks at a gang whenever something of its tasks changed, and
- * regularly, and withdraws an attempt that cannot be completed: a start that was refused, a task that is gone, tasks
- * of two attempts after a change of owner, or an attempt that does not come up in time.
+ * Keeps the gangs of this controller's teams whole. It looks at a gang whenever something of its
+ * tasks changed, and regularly, and withdraws an attempt that cannot be completed: a start that was
+ * refused, a task that is gone, tasks of two attempts after a change of owner, or an attempt that
+ * does not come up in time.
  *
- * <p>Whatever is left of an attempt is stopped, again and again until it is gone, before the gang may be planned
- * anew. So a task is never started beside itself, and a gang never consists of tasks of two attempts.
+ * <p>Whatever is left of an attempt is stopped, again and again until it is gone, before the gang
+ * may be planned anew. So a task is never started beside itself, and a gang never consists of tasks
+ * of two attempts.
  */
 final class Gangs {
   private static final Logger log = LoggerFactory.getLogger(Gangs.class);
@@ -43,8 +45,9 @@
   }
 
   /**
-   * Brings the gang's phase in line with where its tasks are. While {@code placesKnown} is false, right after a change
-   * of owner, tasks that were not found yet may be anywhere, and nothing is concluded from their absence.
+   * Brings the gang's phase in line with where its tasks are. While {@code placesKnown} is false,
+   * right after a change of owner, tasks that were not found yet may be anywhere, and nothing is
+   * concluded from their absence.
    */
   void look(Job job, boolean placesKnown) {
     if (!job.spec.gang() || job.phase() != Job.Phase.OPEN) {
@@ -103,7 +106,8 @@
   private void lookAtOrderlyStop(Job job) {
     if (job.holding() == 0) {
       drained(job);
-    } else if (secondsIn(job) > facts.gangPeerS() + job.spec.saveCostS() + Constants.GANG_STOP_EXTRA_S) {
+    } else if (secondsIn(job)
+        > facts.gangPeerS() + job.spec.saveCostS() + Constants.GANG_STOP_EXTRA_S) {
       withdraw(job, "does not stop in order");
     }
   }
@@ -122,7 +126,10 @@
     }
   }
 
-  /** Every task is surely gone, so the next attempt may begin, after a pause if the last one never ran. */
+  /**
+   * Every task is surely gone, so the next attempt may begin, after a pause if the last one never
+   * ran.
+   */
   private void drained(Job job) {
     enter(job, Phase.WAITING, "waits for places");
     int failures = job.gang.failuresInRow();
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -63,8 +63,16 @@
     long runningSince;
 
     Placed(
-        Job job, int task, long attempt, String machine, long machineGeneration, String owner, int linkRound,
-        String zone, TaskPhase phase, long since) {
+        Job job,
+        int task,
+        long attempt,
+        String machine,
+        long machineGeneration,
+        String owner,
+        int linkRound,
+        String zone,
+        TaskPhase phase,
+        long since) {
       this.job = job;
       this.task = task;
       this.attempt = attempt;
@@ -106,17 +114,23 @@
 
   final JobSpec spec;
   final LikeTasks like;
+
   /** The state of a gang's attempts; jobs of other shapes never leave its first phase. */
   final Gang gang = new Gang();
+
   final long acceptedAt;
+
   /** It was loaded from the store: an earlier owner may have started its tasks. */
   final boolean inherited;
+
   private Phase phase;
   long revision;
   boolean dirty;
   boolean progressDue;
+
   /** The write of finished tasks that is under way or waits its turn. */
   RecordWriter.Write progress;
+
   boolean writing;
   boolean started;
   boolean ranOnce;
@@ -124,8 +138,10 @@
   final RangeSet<Integer> waiting = TaskRanges.empty();
   int doneCount;
   int waitingCount;
+
   /** Attempts that hold, or may hold, room on a machine. */
   private final Map<Integer, Placed> placed = new TreeMap<>();
+
   private int running;
   final List<Clear> clears = new ArrayList<>();
   final List<Consumer<Answer>> submitters = new ArrayList<>();
@@ -174,7 +190,9 @@
   boolean runnable() {
     if (spec.gang()) {
       // The next attempt begins only when all of the former is surely gone.
-      return phase == Phase.OPEN && gang.phase() == Gang.Phase.WAITING && waitingCount == spec.tasks();
+      return phase == Phase.OPEN
+          && gang.phase() == Gang.Phase.WAITING
+          && waitingCount == spec.tasks();
     }
     return phase == Phase.OPEN && waitingCount > 0;
   }
--- a/src/main/java/org/sandford/job/JobSpec.java
+++ b/src/main/java/org/sandford/job/JobSpec.java
@@ -36,7 +36,10 @@
     ARRAY,
     /** Replicas that run until the job is cancelled. */
     SERVICE,
-    /** Tasks that all run at the same time, or none does. Known from {@link Constants#RECORD_VERSION_GANGS} on. */
+    /**
+     * Tasks that all run at the same time, or none does. Known from {@link
+     * Constants#RECORD_VERSION_GANGS} on.
+     */
     GANG
   }
 
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -53,8 +53,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The jobs of the teams that this controller owns. It alone decides attempts, quota and the state of
- * these jobs; machines are commanded by their owners, whom it asks.
+ * The jobs of the teams that this controller owns. It alone decides attempts, quota and the state
+ * of these jobs; machines are commanded by their owners, whom it asks.
  */
 public final class Jobs {
   private static final Logger log = LoggerFactory.getLogger(Jobs.class);
@@ -76,10 +76,13 @@
   private final Gangs gangs;
   private final Map<String, Integer> linkRounds = new HashMap<>();
   private final Map<Attempt, Long> preempted = new HashMap<>();
+
   /** The machines of the map as they were looked at last. */
   private Map<String, MachineOwner> machines = Map.of();
+
   /** How many tasks of a class found no place at the last try, which holds until room grows. */
   private final Map<LikeTasks, Integer> hopeless = new HashMap<>();
+
   private long hopelessSince = -1;
   private long hopelessAt;
   private long stopAgainAt;
@@ -132,13 +135,16 @@
     return teams.size();
   }
 
-  // --- ownership ---------------------------------------------------------------------------------------
+  // --- ownership
+  // ---------------------------------------------------------------------------------------
 
   public void mapChanged() {
     Map<String, TeamOwner> map = share.teams().of();
     for (Team team : new ArrayList<>(teams.values())) {
       TeamOwner owner = map.get(team.name);
-      if (owner == null || !owner.owner().equals(share.id()) || owner.generation() != team.generation) {
+      if (owner == null
+          || !owner.owner().equals(share.id())
+          || owner.generation() != team.generation) {
         lose(team);
       }
     }
@@ -157,7 +163,10 @@
     planSoon();
   }
 
-  /** Looks only at machines that changed: the map of a large fleet changes in parts, several times a second. */
+  /**
+   * Looks only at machines that changed: the map of a large fleet changes in parts, several times a
+   * second.
+   */
   private void machinesChanged() {
     Map<String, MachineOwner> now = share.machines().of();
     if (now == machines) {
@@ -231,9 +240,16 @@
                 (id, entry) -> {
                   JobSpec spec = JobStore.spec(id, entry.value());
                   // The listing may be older than an end that was told meanwhile.
-                  if (spec.team().equals(team.name) && !jobs.containsKey(id) && !finals.contains(id)) {
+                  if (spec.team().equals(team.name)
+                      && !jobs.containsKey(id)
+                      && !finals.contains(id)) {
                     Job job =
-                        new Job(spec, entry.value().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
+                        new Job(
+                            spec,
+                            entry.value().path("a").asLong(),
+                            true,
+                            Job.Phase.OPEN,
+                            loop.nanos());
                     job.revision = entry.revision();
                     job.inherit(TaskRanges.read(entry.value().path("d")));
                     adopt(team, job);
@@ -260,9 +276,9 @@
   }
 
   /**
-   * Looks at what is still to be told for the teams that were taken over. The first look of a team goes
-   * through the whole map. Machines that enter the map later are in nobody's book but in that of owners
-   * who took the claim, since their place in the map came after the team's.
+   * Looks at what is still to be told for the teams that were taken over. The first look of a team
+   * goes through the whole map. Machines that enter the map later are in nobody's book but in that
+   * of owners who took the claim, since their place in the map came after the team's.
    */
   private void settleAnew() {
     for (Team team : teams.values()) {
@@ -271,11 +287,15 @@
       }
       if (team.open == null) {
         team.open = new HashSet<>();
-        share.machines().of().forEach((name, place) -> {
-          if (place.seen()) {
-            team.open.add(name);
-          }
-        });
+        share
+            .machines()
+            .of()
+            .forEach(
+                (name, place) -> {
+                  if (place.seen()) {
+                    team.open.add(name);
+                  }
+                });
       }
       team.open.removeIf(name -> isTold(team, name));
       readyIfTold(team);
@@ -296,13 +316,19 @@
     }
   }
 
-  /** Whether all that the machine holds, or may yet be made to hold, of the team is known; or it is gone. */
+  /**
+   * Whether all that the machine holds, or may yet be made to hold, of the team is known; or it is
+   * gone.
+   */
   private boolean isTold(Team team, String machine) {
     if (!share.machines().of().containsKey(machine)) {
       return true;
     }
     Roster.Seen seen = roster.get(machine);
-    return seen != null && seen.view().settled && roster.current(seen) && team.claimed.contains(seen.owner());
+    return seen != null
+        && seen.view().settled
+        && roster.current(seen)
+        && team.claimed.contains(seen.owner());
   }
 
   private void readyIfTold(Team team) {
@@ -313,7 +339,8 @@
     }
   }
 
-  // --- gangs -------------------------------------------------------------------------------------------
+  // --- gangs
+  // -------------------------------------------------------------------------------------------
 
   private void lookAtGangs() {
     for (Job job : List.copyOf(jobs.values())) {
@@ -331,7 +358,8 @@
     }
   }
 
-  // --- peers -------------------------------------------------------------------------------------------
+  // --- peers
+  // -------------------------------------------------------------------------------------------
 
   public void linkUp(String peer) {
     linkRounds.merge(peer, 1, Integer::sum);
@@ -367,9 +395,9 @@
   }
 
   /**
-   * A new link ends the old one at the far end, so a start that was not taken by then never will be. That holds
-   * for the same life of the owner only: a former one may have taken it and ended before its answer went out.
-   * Then the machine's next owner tells.
+   * A new link ends the old one at the far end, so a start that was not taken by then never will
+   * be. That holds for the same life of the owner only: a former one may have taken it and ended
+   * before its answer went out. Then the machine's next owner tells.
    */
   private void dropUnanswered(String from, Views views) {
     int round = linkRounds.getOrDefault(from, 0);
@@ -432,8 +460,9 @@
   }
 
   /**
-   * Whether the view's tasks are to be believed. One that comes after its machine left the map tells of tasks
-   * that are gone; taken in, they would hold their places for ever, since nothing is heard of that machine again.
+   * Whether the view's tasks are to be believed. One that comes after its machine left the map
+   * tells of tasks that are gone; taken in, they would hold their places for ever, since nothing is
+   * heard of that machine again.
    */
   private boolean counts(MachineView view) {
     return view.settled && share.machines().of().containsKey(view.machine);
@@ -455,9 +484,11 @@
       if (told.contains(Attempt.of(p))) {
         continue;
       }
-      // A request under way is answered by its own answer, unless a newer owner settled the machine.
+      // A request under way is answered by its own answer, unless a newer owner settled the
+      // machine.
       boolean asked = p.phase() == TaskPhase.REQUESTED;
-      if (view.generation > p.machineGeneration || (!asked && view.generation == p.machineGeneration)) {
+      if (view.generation > p.machineGeneration
+          || (!asked && view.generation == p.machineGeneration)) {
         if (asked) {
           unplace(p.job, p);
         } else {
@@ -476,15 +507,32 @@
       return;
     }
     if (job.isDone(task.task) && !mine) {
-      ask(view, new StopTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt, 0));
+      ask(
+          view,
+          new StopTask(
+              job.spec.team(),
+              generation(job),
+              view.machine,
+              job.spec.id(),
+              task.task,
+              task.attempt,
+              0));
       return;
     }
     if (p == null) {
       // Found after a takeover.
       p =
           new Placed(
-              job, task.task, task.attempt, view.machine, view.generation, from,
-              linkRounds.getOrDefault(from, 0), view.zone, TaskPhase.PLACED, now);
+              job,
+              task.task,
+              task.attempt,
+              view.machine,
+              view.generation,
+              from,
+              linkRounds.getOrDefault(from, 0),
+              view.zone,
+              TaskPhase.PLACED,
+              now);
       place(job, p);
       job.started = true;
     } else if (!mine) {
@@ -492,24 +540,50 @@
         // The team may have another owner by now, whose attempt this is.
         return;
       }
-      log.error("{}/{} is on {} as attempt {} beside attempt {} on {}",
-          job.spec.id(), task.task, view.machine, task.attempt, p.attempt, p.machine);
-      ask(view, new StopTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt, 0));
+      log.error(
+          "{}/{} is on {} as attempt {} beside attempt {} on {}",
+          job.spec.id(),
+          task.task,
+          view.machine,
+          task.attempt,
+          p.attempt,
+          p.machine);
+      ask(
+          view,
+          new StopTask(
+              job.spec.team(),
+              generation(job),
+              view.machine,
+              job.spec.id(),
+              task.task,
+              task.attempt,
+              0));
       return;
     }
-    p.becomes(task.state == TaskState.RUNNING ? TaskPhase.RUNNING : p.phase() == TaskPhase.REQUESTED ? TaskPhase.PLACED : p.phase(), now);
+    p.becomes(
+        task.state == TaskState.RUNNING
+            ? TaskPhase.RUNNING
+            : p.phase() == TaskPhase.REQUESTED ? TaskPhase.PLACED : p.phase(),
+        now);
     if (task.state == TaskState.RUNNING) {
       job.failuresInRow = 0;
-      if (!job.ranOnce && job.waitingCount == 0 && job.running() == job.spec.tasks() - job.doneCount) {
+      if (!job.ranOnce
+          && job.waitingCount == 0
+          && job.running() == job.spec.tasks() - job.doneCount) {
         job.ranOnce = true;
         log.debug(
-            "{} ({}) runs whole on {} after {} s", job.spec.id(), job.spec.jobClass(), view.machine,
+            "{} ({}) runs whole on {} after {} s",
+            job.spec.id(),
+            job.spec.jobClass(),
+            view.machine,
             (loop.wallMillis() - job.acceptedAt) / 1000.0);
       }
     }
     if (job.phase() == Job.Phase.ABORTING) {
       stop(job, p, 0);
-    } else if (view.state == MachineState.DRAINING && job.spec.saveEveryS() > 0 && p.phase() == TaskPhase.RUNNING) {
+    } else if (view.state == MachineState.DRAINING
+        && job.spec.saveEveryS() > 0
+        && p.phase() == TaskPhase.RUNNING) {
       int graceS = (int) Math.ceil(job.spec.saveCostS());
       if (job.spec.gang()) {
         gangs.stopInOrder(job, graceS);
@@ -551,7 +625,15 @@
       tend(job);
       return;
     }
-    ask(view, new ClearTask(job.spec.team(), generation(job), view.machine, job.spec.id(), task.task, task.attempt));
+    ask(
+        view,
+        new ClearTask(
+            job.spec.team(),
+            generation(job),
+            view.machine,
+            job.spec.id(),
+            task.task,
+            task.attempt));
     if (p == null) {
       return;
     }
@@ -561,7 +643,13 @@
           case ERROR, UNKNOWN -> {
             job.failuresInRow++;
             job.avoid.add(view.machine);
-            job.lastFailure = "task " + task.task + " failed on machine " + view.machine + " in zone " + view.zone;
+            job.lastFailure =
+                "task "
+                    + task.task
+                    + " failed on machine "
+                    + view.machine
+                    + " in zone "
+                    + view.zone;
             log.info("{}: {}", job.spec.id(), job.lastFailure);
             long doubled = (long) Constants.ERROR_BACKOFF_MS << Math.min(job.failuresInRow - 1, 7);
             yield Math.min(doubled, Constants.ERROR_BACKOFF_MAX_MS);
@@ -591,20 +679,29 @@
     if (place != null) {
       links.ask(
           Share.labelOf(place.owner()),
-          new StopTask(job.spec.team(), generation(job), p.machine, job.spec.id(), p.task, p.attempt, graceS));
+          new StopTask(
+              job.spec.team(),
+              generation(job),
+              p.machine,
+              job.spec.id(),
+              p.task,
+              p.attempt,
+              graceS));
     }
     if (p.phase() != TaskPhase.REQUESTED) {
       p.becomes(TaskPhase.STOPPING, loop.nanos());
     }
   }
 
-  // --- users ---------------------------------------------------------------------------------------------
+  // --- users
+  // ---------------------------------------------------------------------------------------------
 
   /** Whether this controller speaks for the team now. */
   private Answer cannotSpeakFor(String team) {
     Team owned = teams.get(team);
     if (owned == null || !owned.speaks() || !share.holdValid()) {
-      return Answer.later(503, "no controller speaks for team " + team + " just now", Constants.RETRY_AUTHORITY_S);
+      return Answer.later(
+          503, "no controller speaks for team " + team + " just now", Constants.RETRY_AUTHORITY_S);
     }
     return null;
   }
@@ -679,18 +776,23 @@
       case DONE -> accepted(job, result.revision(), 201);
       case REFUSED -> {
         discard(job);
-        answerSubmitters(job, Answer.later(503, "the job could not be stored", Constants.RETRY_AUTHORITY_S));
+        answerSubmitters(
+            job, Answer.later(503, "the job could not be stored", Constants.RETRY_AUTHORITY_S));
       }
       case CONFLICT -> {
         if (result.failed().contains(TEAMS_KEY)) {
           discard(job);
-          answerSubmitters(job, Answer.later(503, "the teams' owners change", Constants.RETRY_AUTHORITY_S));
+          answerSubmitters(
+              job, Answer.later(503, "the teams' owners change", Constants.RETRY_AUTHORITY_S));
         } else {
           readBackNew(job);
         }
       }
       case UNKNOWN -> {
-        answerSubmitters(job, Answer.later(503, "it is not known whether the job was stored", Constants.RETRY_AUTHORITY_S));
+        answerSubmitters(
+            job,
+            Answer.later(
+                503, "it is not known whether the job was stored", Constants.RETRY_AUTHORITY_S));
         loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
       }
     }
@@ -735,7 +837,8 @@
           switch (found.kind()) {
             case OPEN -> {
               JobSpec stored = JobStore.spec(job.spec.id(), found.record());
-              // Another controller's record may have had tasks started under it, so it counts as inherited.
+              // Another controller's record may have had tasks started under it, so it counts as
+              // inherited.
               boolean ours = found.record().path("a").asLong() == job.acceptedAt;
               if (ours && stored.equals(job.spec)) {
                 accepted(job, found.revision(), 200);
@@ -744,7 +847,8 @@
                 List<Consumer<Answer>> asking = new ArrayList<>(job.submitters);
                 discard(job);
                 Job first = jobs.get(job.spec.id());
-                ObjectNode status = first != null ? first.status() : storedStatus(job.spec.id(), found.record());
+                ObjectNode status =
+                    first != null ? first.status() : storedStatus(job.spec.id(), found.record());
                 asking.forEach(a -> a.accept(Answer.of(200, status)));
                 reloadStray(stored, found);
               }
@@ -755,7 +859,8 @@
             }
             case NONE -> storeNew(job);
             case UNKNOWN -> {
-              answerSubmitters(job, Answer.later(503, "the store does not answer", Constants.RETRY_AUTHORITY_S));
+              answerSubmitters(
+                  job, Answer.later(503, "the store does not answer", Constants.RETRY_AUTHORITY_S));
               loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
             }
           }
@@ -766,7 +871,8 @@
   private void reloadStray(JobSpec stored, Lookup.Found found) {
     Team team = teams.get(stored.team());
     if (team != null && team.speaks() && !jobs.containsKey(stored.id())) {
-      Job job = new Job(stored, found.record().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
+      Job job =
+          new Job(stored, found.record().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
       job.revision = found.revision();
       job.inherit(TaskRanges.read(found.record().path("d")));
       adopt(team, job);
@@ -776,10 +882,11 @@
   }
 
   /**
-   * Takes in what the machines hold of jobs that were not known when they told of it; a former owner may have
-   * started their tasks, and what does not change is not told again at once. Of other jobs nothing is taken from
-   * views that were kept: a start that was answered since stands in the next view only, and its task, which such a
-   * view lacks, counted as lost when its owner took over another team, and ran twice.
+   * Takes in what the machines hold of jobs that were not known when they told of it; a former
+   * owner may have started their tasks, and what does not change is not told again at once. Of
+   * other jobs nothing is taken from views that were kept: a start that was answered since stands
+   * in the next view only, and its task, which such a view lacks, counted as lost when its owner
+   * took over another team, and ran twice.
    */
   private void findTasks(Set<String> found) {
     for (Roster.Seen seen : List.copyOf(roster.all())) {
@@ -793,11 +900,12 @@
   }
 
   /**
-   * Stores a job whose team's owner cannot take it just now: the record alone makes it accepted. Only
-   * the owner ever starts its tasks; a key that all controllers watch tells it of the job.
+   * Stores a job whose team's owner cannot take it just now: the record alone makes it accepted.
+   * Only the owner ever starts its tasks; a key that all controllers watch tells it of the job.
    */
   public void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
-    Answer later = Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
+    Answer later =
+        Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
     if (overloaded()) {
       answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
       return;
@@ -809,13 +917,16 @@
     writer.write(
         new RecordWriter.Write(
             absent(spec.id()),
-            List.of(Op.put(JobStore.OPEN + spec.id(), record), Op.put(Share.addedKey(spec.id()), marker)),
+            List.of(
+                Op.put(JobStore.OPEN + spec.id(), record),
+                Op.put(Share.addedKey(spec.id()), marker)),
             RecordWriter.Kind.NEW,
             result -> {
               if (result.outcome() == Outcome.DONE) {
                 log.info("{} is stored for the owner of team {}", spec.id(), spec.team());
                 answer.accept(
-                    Answer.of(201, Json.object().put("name_id", spec.id()).put("status", "queued")));
+                    Answer.of(
+                        201, Json.object().put("name_id", spec.id()).put("status", "queued")));
               } else if (result.outcome() == Outcome.CONFLICT) {
                 lookup.find(
                     spec.id(),
@@ -836,7 +947,10 @@
     Map.copyOf(share.added()).forEach((id, told) -> takeAdded(id, told.team()));
   }
 
-  /** Takes up a job that another controller stored for a team of ours, and clears the key that told of it. */
+  /**
+   * Takes up a job that another controller stored for a team of ours, and clears the key that told
+   * of it.
+   */
   public void takeAdded(String id, String teamName) {
     Team team = teams.get(teamName);
     if (team == null || !team.speaks()) {
@@ -886,7 +1000,10 @@
                 }));
   }
 
-  /** Removes the key that told of the job, as it was seen: carried out late, the removal finds another or none. */
+  /**
+   * Removes the key that told of the job, as it was seen: carried out late, the removal finds
+   * another or none.
+   */
   private void clearAdded(String id) {
     Share.Added told = share.added().get(id);
     if (told == null) {
@@ -895,7 +1012,10 @@
     String key = Share.addedKey(id);
     writer.write(
         new RecordWriter.Write(
-            Map.of(key, told.revision()), List.of(Op.remove(key)), RecordWriter.Kind.PROGRESS, result -> {}));
+            Map.of(key, told.revision()),
+            List.of(Op.remove(key)),
+            RecordWriter.Kind.PROGRESS,
+            result -> {}));
   }
 
   public static ObjectNode finalStatus(String id, String state) {
@@ -915,7 +1035,9 @@
   /** The state of a job of ours, or null when the caller has to ask the store. */
   public Answer poll(String id) {
     Job job = jobs.get(id);
-    if (job == null || job.phase() == Job.Phase.STORING || cannotSpeakFor(job.spec.team()) != null) {
+    if (job == null
+        || job.phase() == Job.Phase.STORING
+        || cannotSpeakFor(job.spec.team()) != null) {
       return null;
     }
     return Answer.of(200, job.status());
@@ -933,7 +1055,10 @@
     }
     Answer refusal = cannotSpeakFor(job.spec.team());
     if (refusal != null || job.phase() == Job.Phase.STORING) {
-      answer.accept(refusal != null ? refusal : Answer.later(503, "the job is just being stored", Constants.RETRY_AUTHORITY_S));
+      answer.accept(
+          refusal != null
+              ? refusal
+              : Answer.later(503, "the job is just being stored", Constants.RETRY_AUTHORITY_S));
       return true;
     }
     job.aborters.add(answer);
@@ -956,7 +1081,8 @@
     }
   }
 
-  // --- records ---------------------------------------------------------------------------------------------
+  // --- records
+  // ---------------------------------------------------------------------------------------------
 
   /** Writes what the record lacks; one write per job at a time. */
   private void tend(Job job) {
@@ -966,7 +1092,10 @@
       job.progress = null;
       job.writing = false;
     }
-    if (job.writing || job.phase().over() || job.phase() == Job.Phase.STORING || jobs.get(job.spec.id()) != job) {
+    if (job.writing
+        || job.phase().over()
+        || job.phase() == Job.Phase.STORING
+        || jobs.get(job.spec.id()) != job) {
       return;
     }
     if (job.phase() == Job.Phase.ABORTING) {
@@ -979,7 +1108,8 @@
           Constants.PROGRESS_MS,
           () -> {
             job.progressDue = false;
-            boolean wanted = job.dirty && !job.writing && job.phase() == Job.Phase.OPEN && !job.allDone();
+            boolean wanted =
+                job.dirty && !job.writing && job.phase() == Job.Phase.OPEN && !job.allDone();
             if (wanted && jobs.get(job.spec.id()) == job) {
               writeProgress(job);
             }
@@ -1000,7 +1130,8 @@
     writer.write(
         new RecordWriter.Write(
             recordConditions(job),
-            List.of(Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
+            List.of(
+                Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
             RecordWriter.Kind.END,
             result -> {
               job.writing = false;
@@ -1055,7 +1186,13 @@
     if (place != null && team != null) {
       links.ask(
           Share.labelOf(place.owner()),
-          new ClearTask(team.name, team.generation, clear.machine(), job.spec.id(), clear.task(), clear.attempt()));
+          new ClearTask(
+              team.name,
+              team.generation,
+              clear.machine(),
+              job.spec.id(),
+              clear.task(),
+              clear.attempt()));
     }
   }
 
@@ -1063,7 +1200,9 @@
     boolean ofTeams = result.failed().contains(TEAMS_KEY);
     if (result.outcome() == Outcome.REFUSED || (result.outcome() == Outcome.CONFLICT && ofTeams)) {
       if (result.outcome() == Outcome.REFUSED) {
-        answerAborters(job, Answer.later(503, "the store does not take the change", Constants.RETRY_AUTHORITY_S));
+        answerAborters(
+            job,
+            Answer.later(503, "the store does not take the change", Constants.RETRY_AUTHORITY_S));
       }
       loop.after(Constants.STATE_RETRY_MS, () -> tend(job));
       return;
@@ -1083,9 +1222,14 @@
                     case FINAL -> ended(job, found.state());
                     case OPEN -> {
                       job.revision = found.revision();
-                      TaskRanges.read(found.record().path("d")).asRanges().forEach(r ->
-                          TaskRanges.first(com.google.common.collect.ImmutableRangeSet.of(r), Integer.MAX_VALUE)
-                              .forEach(job::finish));
+                      TaskRanges.read(found.record().path("d"))
+                          .asRanges()
+                          .forEach(
+                              r ->
+                                  TaskRanges.first(
+                                          com.google.common.collect.ImmutableRangeSet.of(r),
+                                          Integer.MAX_VALUE)
+                                      .forEach(job::finish));
                       tend(job);
                     }
                     case NONE -> log.error("{} is missing from the store", job.spec.id());
@@ -1100,7 +1244,9 @@
     waiting.forEach(a -> a.accept(answer));
   }
 
-  /** The final state is stored: it may be told, and what is left of the job on machines has to go. */
+  /**
+   * The final state is stored: it may be told, and what is left of the job on machines has to go.
+   */
   private void ended(Job job, String state) {
     job.becomes(state.equals("done") ? Job.Phase.DONE : Job.Phase.ABORTED);
     log.debug("{} is {}", job.spec.id(), state);
@@ -1119,7 +1265,9 @@
     planSoon();
   }
 
-  /** A job that is over counts against its team until its tasks are gone, and is stopped till then. */
+  /**
+   * A job that is over counts against its team until its tasks are gone, and is stopped till then.
+   */
   private void leave(Job job) {
     if (job.holding() == 0 || jobs.get(job.spec.id()) != job) {
       discard(job);
@@ -1136,7 +1284,8 @@
         });
   }
 
-  // --- planning ----------------------------------------------------------------------------------------------
+  // --- planning
+  // ----------------------------------------------------------------------------------------------
 
   private void planSoon() {
     if (planning) {
@@ -1155,9 +1304,7 @@
         continue;
       }
       Team team = teams.get(job.spec.team());
-      if (team != null
-          && team.speaks()
-          && (team.phase() == Team.Phase.READY || !job.inherited)) {
+      if (team != null && team.speaks() && (team.phase() == Team.Phase.READY || !job.inherited)) {
         queue.add(job);
       }
     }
@@ -1202,14 +1349,18 @@
       Team team = teams.get(job.spec.team());
       int allowed = team.allowed(job.spec.cpus(), job.spec.gpus());
       int count = Math.min(job.waitingCount, allowed);
-      // What the team's limit does not allow now is planned in parts: a whole job that waits for the
+      // What the team's limit does not allow now is planned in parts: a whole job that waits for
+      // the
       // limit is starved by the parts of larger ones, which take each place as it falls free.
       // Nor is a job left waiting for ever for room that a small fleet never has at once.
       double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
       boolean gang = job.spec.gang();
-      boolean whole = gang || (!job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S);
+      boolean whole =
+          gang || (!job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S);
       if (count == 0 || (gang && count < job.waitingCount)) {
-        job.waitsBecause(new WaitReason.TeamLimit(team.name, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
+        job.waitsBecause(
+            new WaitReason.TeamLimit(
+                team.name, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
         continue;
       }
       Planner.Plan plan = find(job, count, whole, free);
@@ -1236,7 +1387,9 @@
         : new WaitReason.NoRoom(tasks, s.cpus(), s.ram());
   }
 
-  /** A plan for the job's tasks, or null; jobs of a class that found no room are not tried again. */
+  /**
+   * A plan for the job's tasks, or null; jobs of a class that found no room are not tried again.
+   */
   private Planner.Plan find(Job job, int count, boolean whole, List<Room> free) {
     int need = whole ? count : 1;
     if (hopeless.getOrDefault(job.like, Integer.MAX_VALUE) <= need) {
@@ -1257,8 +1410,8 @@
   }
 
   /**
-   * Moves one replica off a machine that is to be emptied, if a machine with its image has room for it.
-   * One at a time: its job is short of it until it runs again.
+   * Moves one replica off a machine that is to be emptied, if a machine with its image has room for
+   * it. One at a time: its job is short of it until it runs again.
    */
   private void moveReplica() {
     long now = loop.millis();
@@ -1298,8 +1451,11 @@
     }
   }
 
-  /** Makes room where the users allow it; what is freed shows in later views and is planned then. */
-  private void preempt(Team team, Job job, int count, List<Room> free, boolean whole, Stoppable stoppable) {
+  /**
+   * Makes room where the users allow it; what is freed shows in later views and is planned then.
+   */
+  private void preempt(
+      Team team, Job job, int count, List<Room> free, boolean whole, Stoppable stoppable) {
     if (job.preemptAgainAt > loop.millis() || stoppable.searches >= Constants.PREEMPT_SEARCHES) {
       return;
     }
@@ -1309,7 +1465,8 @@
     }
     stoppable.searches++;
     job.preemptAgainAt = loop.millis() + Constants.PREEMPT_PAUSE_MS;
-    List<Preemption.Eviction> evictions = Preemption.choose(job.need(), count, free, victims, whole);
+    List<Preemption.Eviction> evictions =
+        Preemption.choose(job.need(), count, free, victims, whole);
     if (evictions == null) {
       return;
     }
@@ -1323,7 +1480,8 @@
       room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
       askForRoom(team, job, room.owner, room.machine, n, stop);
     }
-    // What is left are tasks of gangs that lose one elsewhere: all of a gang have to hear of its stop to save.
+    // What is left are tasks of gangs that lose one elsewhere: all of a gang have to hear of its
+    // stop to save.
     stops.forEach(
         (machine, stop) -> {
           Roster.Seen seen = roster.get(machine);
@@ -1333,20 +1491,32 @@
         });
   }
 
-  /** Asks the machine's owner to keep room for so many tasks of the job, after stopping others where need be. */
-  private void askForRoom(Team team, Job job, String owner, String machine, int tasks, List<Victim> stop) {
+  /**
+   * Asks the machine's owner to keep room for so many tasks of the job, after stopping others where
+   * need be.
+   */
+  private void askForRoom(
+      Team team, Job job, String owner, String machine, int tasks, List<Victim> stop) {
     JobSpec s = job.spec;
     links.ask(
         owner,
         new Preempt(
-            team.name, machine, s.id(), s.rank().ordinal(), job.acceptedAt, tasks * s.cpus(),
-            tasks * s.gpus(), tasks * s.ram(), stop, Constants.PREEMPT_GRACE_S));
+            team.name,
+            machine,
+            s.id(),
+            s.rank().ordinal(),
+            job.acceptedAt,
+            tasks * s.cpus(),
+            tasks * s.gpus(),
+            tasks * s.ram(),
+            stop,
+            Constants.PREEMPT_GRACE_S));
   }
 
   /**
-   * Has the room that is free kept for a job that waited long for enough of it at once: small jobs take
-   * each place as it falls free, and a large one would never begin. One job at a time, the first of the
-   * queue, which is at last the same for all controllers.
+   * Has the room that is free kept for a job that waited long for enough of it at once: small jobs
+   * take each place as it falls free, and a large one would never begin. One job at a time, the
+   * first of the queue, which is at last the same for all controllers.
    */
   private void gather(Team team, Job job, int count, List<Room> free) {
     Planner.Plan plan = planner.place(job.need(), count, free, false);
@@ -1382,20 +1552,34 @@
           if (t.known && t.state != TaskState.EXITED) {
             running.add(
                 new Preemption.Victim(
-                    seen.view().machine, t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram,
+                    seen.view().machine,
+                    t.team,
+                    t.job,
+                    t.task,
+                    t.attempt,
+                    t.rank,
+                    t.cpus,
+                    t.gpus,
+                    t.ram,
                     t.cpus * (t.ageS + sinceS)));
             beyond.merge(t.team, t.cpus, Double::sum);
           }
         }
       }
-      running.forEach(v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
-      running.replaceAll(v -> v.losing(gangOf(v).stream().mapToDouble(Preemption.Victim::lossCpuS).sum()));
-      settings.facts().teams().forEach((name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
+      running.forEach(
+          v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
+      running.replaceAll(
+          v -> v.losing(gangOf(v).stream().mapToDouble(Preemption.Victim::lossCpuS).sum()));
+      settings
+          .facts()
+          .teams()
+          .forEach(
+              (name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
     }
 
     /**
-     * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the gangs of other
-     * controllers show in the views as well.
+     * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the
+     * gangs of other controllers show in the views as well.
      */
     private List<Preemption.Victim> gangOf(Preemption.Victim victim) {
       return byAttempt.get(JobAttempt.of(victim));
@@ -1435,7 +1619,8 @@
                 && !v.team().equals(team.name)
                 && v.rank() > JobSpec.Rank.PRODUCTION.ordinal()
                 && borrowed.getOrDefault(v.team(), 0.0) >= v.cpus();
-        if ((lower || lent) && !preempted.containsKey(new Attempt(v.job(), v.task(), v.attempt()))) {
+        if ((lower || lent)
+            && !preempted.containsKey(new Attempt(v.job(), v.task(), v.attempt()))) {
           if (!lower) {
             borrowed.merge(v.team(), -v.cpus(), Double::sum);
           }
@@ -1458,10 +1643,13 @@
         gpus += unfinished * other.spec.gpus();
       }
     }
-    return cpus <= team.limits.cpus() + Constants.EPSILON && gpus <= team.limits.gpus() + Constants.EPSILON;
+    return cpus <= team.limits.cpus() + Constants.EPSILON
+        && gpus <= team.limits.gpus() + Constants.EPSILON;
   }
 
-  /** One attempt of a job; what distinguishes gangs from other jobs is that several tasks share one. */
+  /**
+   * One attempt of a job; what distinguishes gangs from other jobs is that several tasks share one.
+   */
   private record JobAttempt(String job, long attempt) {
     static JobAttempt of(Preemption.Victim victim) {
       return new JobAttempt(victim.job(), victim.attempt());
@@ -1483,16 +1671,35 @@
         String owner = slot.room().owner;
         Placed p =
             new Placed(
-                job, task, job.spec.gang() ? gangAttempt : team.nextAttempt(), slot.room().machine, place.generation(), owner,
-                linkRounds.getOrDefault(owner, 0), slot.room().zone, TaskPhase.REQUESTED, now);
+                job,
+                task,
+                job.spec.gang() ? gangAttempt : team.nextAttempt(),
+                slot.room().machine,
+                place.generation(),
+                owner,
+                linkRounds.getOrDefault(owner, 0),
+                slot.room().zone,
+                TaskPhase.REQUESTED,
+                now);
         place(job, p);
         JobSpec s = job.spec;
         boolean sent =
             links.ask(
                 owner,
                 new StartTask(
-                    team.name, team.generation, p.machine, p.machineGeneration, s.id(), task, p.attempt,
-                    s.rank().ordinal(), job.acceptedAt, s.cpus(), s.gpus(), s.ram(), s.image()));
+                    team.name,
+                    team.generation,
+                    p.machine,
+                    p.machineGeneration,
+                    s.id(),
+                    task,
+                    p.attempt,
+                    s.rank().ordinal(),
+                    job.acceptedAt,
+                    s.cpus(),
+                    s.gpus(),
+                    s.ram(),
+                    s.image()));
         if (!sent) {
           unsent.add(p);
         }
@@ -1516,7 +1723,10 @@
       double[] room =
           left.computeIfAbsent(
               team.name,
-              n -> new double[] {team.limits.cpusMax() - team.cpusUsed(), team.limits.gpusMax() - team.gpusUsed()});
+              n ->
+                  new double[] {
+                    team.limits.cpusMax() - team.cpusUsed(), team.limits.gpusMax() - team.gpusUsed()
+                  });
       int n = job.waitingCount;
       if (s.cpus() > 0) {
         n = (int) Math.min(n, Math.floor((room[0] + Constants.EPSILON) / s.cpus()));
@@ -1540,9 +1750,20 @@
       }
       DemandClass told =
           new DemandClass(
-              s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), n, s.reclaimable(), s.scatter(),
-              s.together(), s.service(), new ArrayList<>(s.kinds()), s.zone(),
-              waitedS, s.tasks(), job.need().zonesHeld());
+              s.rank().ordinal(),
+              s.cpus(),
+              s.gpus(),
+              s.ram(),
+              n,
+              s.reclaimable(),
+              s.scatter(),
+              s.together(),
+              s.service(),
+              new ArrayList<>(s.kinds()),
+              s.zone(),
+              waitedS,
+              s.tasks(),
+              job.need().zonesHeld());
       out.add(told);
       if (alike) {
         arrays.put(List.of(job.like, s.rank()), told);
--- a/src/main/java/org/sandford/job/LikeTasks.java
+++ b/src/main/java/org/sandford/job/LikeTasks.java
@@ -4,9 +4,23 @@
 
 /** What the tasks of like jobs ask of their machines; they find places, or none, as a class. */
 record LikeTasks(
-    double cpus, double gpus, double ram, Set<String> kinds, String zone, boolean reclaimable, boolean together, boolean scatter) {
+    double cpus,
+    double gpus,
+    double ram,
+    Set<String> kinds,
+    String zone,
+    boolean reclaimable,
+    boolean together,
+    boolean scatter) {
   static LikeTasks of(JobSpec s) {
     return new LikeTasks(
-        s.cpus(), s.gpus(), s.ram(), s.kinds(), s.zone(), s.reclaimable(), s.together(), s.scatter());
+        s.cpus(),
+        s.gpus(),
+        s.ram(),
+        s.kinds(),
+        s.zone(),
+        s.reclaimable(),
+        s.together(),
+        s.scatter());
   }
 }
--- a/src/main/java/org/sandford/job/Lookup.java
+++ b/src/main/java/org/sandford/job/Lookup.java
@@ -7,7 +7,10 @@
 import org.sandford.Constants;
 import org.sandford.state.StateClient;
 
-/** Finds a job in the store: as an open one, then as an ended one. Only both misses prove that there is none. */
+/**
+ * Finds a job in the store: as an open one, then as an ended one. Only both misses prove that there
+ * is none.
+ */
 public final class Lookup {
   /** How a lookup ended. */
   public enum Kind {
--- a/src/main/java/org/sandford/job/RoomBook.java
+++ b/src/main/java/org/sandford/job/RoomBook.java
@@ -21,9 +21,9 @@
 import org.sandford.share.Share;
 
 /**
- * The free room of every machine, and which tasks of this controller's jobs are placed where. Both are
- * kept up to date machine by machine: counted anew for each plan, they cost more than the plans once
- * there are hundreds of machines.
+ * The free room of every machine, and which tasks of this controller's jobs are placed where. Both
+ * are kept up to date machine by machine: counted anew for each plan, they cost more than the plans
+ * once there are hundreds of machines.
  */
 final class RoomBook {
   private final Roster roster;
@@ -36,7 +36,8 @@
   private final Set<String> stale = new LinkedHashSet<>();
   private long growth;
 
-  RoomBook(Roster roster, Share share, PeerLinks links, String self, Function<String, Flavor> flavors) {
+  RoomBook(
+      Roster roster, Share share, PeerLinks links, String self, Function<String, Flavor> flavors) {
     this.roster = roster;
     this.share = share;
     this.links = links;
@@ -76,7 +77,9 @@
     return there == null ? List.of() : new ArrayList<>(there);
   }
 
-  /** Rises whenever room may have grown: what found no place before need not be tried until then. */
+  /**
+   * Rises whenever room may have grown: what found no place before need not be tried until then.
+   */
   long growth() {
     refresh();
     return growth;
@@ -133,8 +136,15 @@
     }
     Room room =
         new Room(
-            view.machine, seen.owner(), view.kind, view.zone, view.spot,
-            seen.owner().equals(self), flavor.cpus(), flavor.gpus(), flavor.ram());
+            view.machine,
+            seen.owner(),
+            view.kind,
+            view.zone,
+            view.spot,
+            seen.owner().equals(self),
+            flavor.cpus(),
+            flavor.gpus(),
+            flavor.ram());
     room.images = Set.copyOf(view.images);
     if (!view.kept.isEmpty()) {
       room.kept =
--- a/src/main/java/org/sandford/job/TaskRanges.java
+++ b/src/main/java/org/sandford/job/TaskRanges.java
@@ -56,9 +56,9 @@
   }
 
   /**
-   * The ranges as pairs of first and last task, within so many bytes. What does not fit is left out,
-   * the shortest ranges first: a task that finished but does not stand in the record is only run
-   * again, since workers keep its result, and it is not cleared from them.
+   * The ranges as pairs of first and last task, within so many bytes. What does not fit is left
+   * out, the shortest ranges first: a task that finished but does not stand in the record is only
+   * run again, since workers keep its result, and it is not cleared from them.
    */
   static ArrayNode write(RangeSet<Integer> set, int bytes) {
     List<Range<Integer>> ranges = new ArrayList<>();
@@ -90,7 +90,9 @@
   }
 
   private static int bytesOf(Range<Integer> r) {
-    return 4 + String.valueOf(r.lowerEndpoint()).length() + String.valueOf(r.upperEndpoint() - 1).length();
+    return 4
+        + String.valueOf(r.lowerEndpoint()).length()
+        + String.valueOf(r.upperEndpoint() - 1).length();
   }
 
   static RangeSet<Integer> read(JsonNode node) {
--- a/src/main/java/org/sandford/job/Team.java
+++ b/src/main/java/org/sandford/job/Team.java
@@ -26,10 +26,16 @@
   final Settings.Team limits;
   private Phase phase = Phase.LOADING;
   final Map<String, Job> jobs = new LinkedHashMap<>();
+
   /** Owners that refuse older generations of this team from now on. */
   final Set<String> claimed = new HashSet<>();
-  /** Machines whose tasks were not told completely yet after their owner took the claim; null before the first look. */
+
+  /**
+   * Machines whose tasks were not told completely yet after their owner took the claim; null before
+   * the first look.
+   */
   Set<String> open;
+
   private long attempts;
   private double heldCpus;
   private double heldGpus;
@@ -53,14 +59,16 @@
     return phase == Phase.SETTLING || phase == Phase.READY;
   }
 
-  /** Attempts rise for ever: generations rise with every change of owner and stand above the count. */
+  /**
+   * Attempts rise for ever: generations rise with every change of owner and stand above the count.
+   */
   long nextAttempt() {
     return generation * Constants.ATTEMPTS_PER_GENERATION + ++attempts;
   }
 
   /**
-   * Counts anew what its tasks hold, once for a whole planning round: counted for each job of the round,
-   * it cost as many steps as there are pairs of jobs.
+   * Counts anew what its tasks hold, once for a whole planning round: counted for each job of the
+   * round, it cost as many steps as there are pairs of jobs.
    */
   void countHeld() {
     heldCpus = 0;
--- a/src/main/java/org/sandford/job/WaitReason.java
+++ b/src/main/java/org/sandford/job/WaitReason.java
@@ -2,7 +2,10 @@
 
 import java.util.Locale;
 
-/** Why a job's tasks wait. It is noted in every planning round, and put into words only for a reader. */
+/**
+ * Why a job's tasks wait. It is noted in every planning round, and put into words only for a
+ * reader.
+ */
 sealed interface WaitReason {
   WaitReason NONE = new Nothing();
 
@@ -23,18 +26,25 @@
       return String.format(
           Locale.ROOT,
           "team %s has no room for a task of %.1f CPUs within its limit of %.1f, and %d wait",
-          team, cpus, most, tasks);
+          team,
+          cpus,
+          most,
+          tasks);
     }
   }
 
   /** The gang needs places for all of its tasks at once. */
-  record NoRoomForGang(int tasks, double cpus, double ram, boolean inOneZone) implements WaitReason {
+  record NoRoomForGang(int tasks, double cpus, double ram, boolean inOneZone)
+      implements WaitReason {
     @Override
     public String text() {
       return String.format(
           Locale.ROOT,
           "waits for %d places of %.1f CPUs and %.1f GB at once%s",
-          tasks, cpus, ram, inOneZone ? " in one zone" : "");
+          tasks,
+          cpus,
+          ram,
+          inOneZone ? " in one zone" : "");
     }
   }
 
@@ -51,7 +61,11 @@
     @Override
     public String text() {
       return String.format(
-          Locale.ROOT, "no machines have room for %d tasks of %.1f CPUs and %.1f GB at once", tasks, cpus, ram);
+          Locale.ROOT,
+          "no machines have room for %d tasks of %.1f CPUs and %.1f GB at once",
+          tasks,
+          cpus,
+          ram);
     }
   }
 }
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -73,8 +73,12 @@
   private Iterator<String> refreshing;
   private boolean publishing;
   private boolean learning;
-  /** Rises when ends of jobs may have been missed: a listing begun before proves nothing any more. */
+
+  /**
+   * Rises when ends of jobs may have been missed: a listing begun before proves nothing any more.
+   */
   private int learnRound;
+
   private long learnedAt = Long.MIN_VALUE / 2;
 
   public Fleet(
@@ -106,12 +110,13 @@
   }
 
   /**
-   * Tells some machines anew in turn. Views go out only with news, so one that a controller could not use
-   * when it came, since its map was older, would be missing there for as long as the machine stays as it is;
-   * a cancelled job's task kept its room in the books for ever that way.
+   * Tells some machines anew in turn. Views go out only with news, so one that a controller could
+   * not use when it came, since its map was older, would be missing there for as long as the
+   * machine stays as it is; a cancelled job's task kept its room in the books for ever that way.
    */
   private void refresh() {
-    int part = (int) Math.ceil(machines.size() * (double) Constants.REFRESH_MS / Constants.REFRESHED_MS);
+    int part =
+        (int) Math.ceil(machines.size() * (double) Constants.REFRESH_MS / Constants.REFRESHED_MS);
     for (int i = 0; i < part; i++) {
       if (refreshing == null || !refreshing.hasNext()) {
         refreshing = new ArrayList<>(machines.keySet()).iterator();
@@ -126,7 +131,8 @@
     }
   }
 
-  // --- the map ----------------------------------------------------------------------------------------
+  // --- the map
+  // ----------------------------------------------------------------------------------------
 
   public void mapChanged() {
     long now = loop.nanos();
@@ -174,7 +180,8 @@
     }
   }
 
-  // --- views --------------------------------------------------------------------------------------------
+  // --- views
+  // --------------------------------------------------------------------------------------------
 
   private void mark(Machine machine) {
     dirty.add(machine.name);
@@ -215,7 +222,8 @@
     return new Views(true, views, List.of(), share.holdValid());
   }
 
-  // --- what team owners and the leader ask ------------------------------------------------------------------
+  // --- what team owners and the leader ask
+  // ------------------------------------------------------------------
 
   private boolean current(String team, long generation) {
     long known = claims.getOrDefault(team, 0L);
@@ -256,7 +264,11 @@
     if (machine == null || machine.place.generation() != ask.machineGeneration) {
       return "not a machine of this share";
     }
-    if (machine.state() != MachineState.UP || machine.faulty || machine.vacating || !machine.place.seen() || !machine.mine()) {
+    if (machine.state() != MachineState.UP
+        || machine.faulty
+        || machine.vacating
+        || !machine.place.seen()
+        || !machine.mine()) {
       return "the machine is " + machine.state();
     }
     if (isFinal.test(ask.job)) {
@@ -302,7 +314,13 @@
       machine.keepRoom(ask, loop.nanos());
       mark(machine);
       for (Victim victim : ask.victims) {
-        log.info("{}/{} on {} makes room for {} of team {}", victim.job, victim.task, ask.machine, ask.forJob, ask.team);
+        log.info(
+            "{}/{} on {} makes room for {} of team {}",
+            victim.job,
+            victim.task,
+            ask.machine,
+            ask.forJob,
+            ask.team);
         stop(ask.machine, new TaskKey(victim.job, victim.task), victim.attempt, ask.graceS);
       }
     }
@@ -354,7 +372,11 @@
     Machine machine = machines.get(ask.machine);
     if (machine != null && machine.vacating != ask.on) {
       machine.vacating = ask.on;
-      log.info("machine {} ({}) {}", machine.name, machine.place.zone(), ask.on ? "is to be emptied" : "is kept");
+      log.info(
+          "machine {} ({}) {}",
+          machine.name,
+          machine.place.zone(),
+          ask.on ? "is to be emptied" : "is kept");
       mark(machine);
     }
   }
@@ -386,7 +408,8 @@
     learn();
   }
 
-  // --- reports ------------------------------------------------------------------------------------------------
+  // --- reports
+  // ------------------------------------------------------------------------------------------------
 
   public Answer hello(JsonNode body) {
     WorkerReport report = WorkerReport.read(body);
@@ -446,7 +469,8 @@
     announced.put(report.machine(), now);
     links.ask(
         share.leaderLabel(),
-        new MachineSeen(report.machine(), report.address(), report.kind(), report.zone(), report.spot()));
+        new MachineSeen(
+            report.machine(), report.address(), report.kind(), report.zone(), report.spot()));
   }
 
   private void take(Machine machine, WorkerReport said, boolean report) {
@@ -456,9 +480,10 @@
     if (machine.place.seen() && machine.mine() && !machine.superseded()) {
       MachineState next = notice ? MachineState.DRAINING : MachineState.UP;
       boolean settled = machine.tokenSettled();
-      changed |= machine.becomes(
-          settled ? next : MachineState.SYNCING,
-          settled && notice ? "the cloud takes it back" : "its worker answers");
+      changed |=
+          machine.becomes(
+              settled ? next : MachineState.SYNCING,
+              settled && notice ? "the cloud takes it back" : "its worker answers");
     } else if (machine.state() == MachineState.LOST) {
       changed |= machine.becomes(MachineState.SYNCING, "it is heard again");
     }
@@ -472,7 +497,10 @@
     }
   }
 
-  /** Fills in what is known of tasks that came with a report, and looks up the rest; true when it filled in any. */
+  /**
+   * Fills in what is known of tasks that came with a report, and looks up the rest; true when it
+   * filled in any.
+   */
   private boolean describe(Machine machine) {
     boolean missing = false;
     boolean filled = false;
@@ -508,8 +536,9 @@
   }
 
   /**
-   * What is here of jobs whose end is stored has to go, and what exited of them is cleared: the job's end may have
-   * been told before this machine was, and its team's owner may have forgotten the job by now.
+   * What is here of jobs whose end is stored has to go, and what exited of them is cleared: the
+   * job's end may have been told before this machine was, and its team's owner may have forgotten
+   * the job by now.
    */
   private void endFinal(Machine machine) {
     for (Entry entry : machine.entries.values()) {
@@ -542,7 +571,9 @@
     learnedAt = loop.millis();
     int round = learnRound;
     List<Entry> asked = new ArrayList<>();
-    machines.values().forEach(m -> m.entries.values().stream().filter(e -> !e.known).forEach(asked::add));
+    machines
+        .values()
+        .forEach(m -> m.entries.values().stream().filter(e -> !e.known).forEach(asked::add));
     jobs.openJobs(
         open -> {
           learning = false;
@@ -571,11 +602,14 @@
               mark(machine);
             }
           }
-          machines.values().forEach(machine -> {
-            if (describe(machine)) {
-              mark(machine);
-            }
-          });
+          machines
+              .values()
+              .forEach(
+                  machine -> {
+                    if (describe(machine)) {
+                      mark(machine);
+                    }
+                  });
         });
   }
 
@@ -587,7 +621,8 @@
     }
   }
 
-  // --- commands -------------------------------------------------------------------------------------------------
+  // --- commands
+  // -------------------------------------------------------------------------------------------------
 
   private boolean alive(Machine machine) {
     return machines.get(machine.name) == machine;
@@ -595,7 +630,8 @@
 
   private void command(Machine machine) {
     boolean ready = machine.state() == MachineState.UP || machine.state() == MachineState.DRAINING;
-    // A stop is safe without a hold: it names an attempt, and whoever owns the machine by now has a higher token.
+    // A stop is safe without a hold: it names an attempt, and whoever owns the machine by now has a
+    // higher token.
     boolean startsToo = machine.state() == MachineState.UP && share.holdValid();
     long now = loop.nanos();
     if (!alive(machine) || !ready || machine.busyDirect || !machine.wantsDirect(startsToo, now)) {
@@ -655,7 +691,9 @@
     command(machine);
   }
 
-  /** Takes in the report that a worker's answer carries, if it is news; false when it carries none. */
+  /**
+   * Takes in the report that a worker's answer carries, if it is news; false when it carries none.
+   */
   private boolean hear(Machine machine, Reply reply) {
     WorkerReport said = WorkerReport.read(Json.read(reply.body()));
     if (said != null && !machine.stale(said)) {
@@ -670,8 +708,13 @@
 
   /** Raises the token on a machine at once instead of waiting for its next report. */
   private void sync(Machine machine) {
-    boolean wanted = machine.state() == MachineState.SYNCING || machine.state() == MachineState.LOST;
-    if (!alive(machine) || !wanted || machine.busyDirect || !machine.place.seen() || !share.holdValid()) {
+    boolean wanted =
+        machine.state() == MachineState.SYNCING || machine.state() == MachineState.LOST;
+    if (!alive(machine)
+        || !wanted
+        || machine.busyDirect
+        || !machine.place.seen()
+        || !share.holdValid()) {
       return;
     }
     machine.busyDirect = true;
@@ -713,7 +756,8 @@
         });
   }
 
-  // --- time -------------------------------------------------------------------------------------------------------
+  // --- time
+  // -------------------------------------------------------------------------------------------------------
 
   private void tick() {
     long now = loop.nanos();
@@ -728,7 +772,10 @@
         probe(machine);
       }
       if (machine.state() == MachineState.LOST && !machine.leaseOver && leaseOver(machine, now)) {
-        log.info("machine {} ({}): its lease is over, and with it its tasks", machine.name, machine.place.zone());
+        log.info(
+            "machine {} ({}): its lease is over, and with it its tasks",
+            machine.name,
+            machine.place.zone());
         machine.leaseIsOver();
         mark(machine);
       }
@@ -759,8 +806,8 @@
   }
 
   /**
-   * Where several machines of a zone are lost, its others are asked at once: whether the whole zone is cut
-   * off must be known before the first machines are given back.
+   * Where several machines of a zone are lost, its others are asked at once: whether the whole zone
+   * is cut off must be known before the first machines are given back.
    */
   private void probeZone(String zone) {
     long now = loop.nanos();
@@ -802,7 +849,9 @@
           if (!alive(machine)) {
             return;
           }
-          if (!(reply.ok() && hear(machine, reply)) && machine.heardAt < askedAt && expected(machine)) {
+          if (!(reply.ok() && hear(machine, reply))
+              && machine.heardAt < askedAt
+              && expected(machine)) {
             lose(machine, (loop.nanos() - machine.heardAt) / 1e9);
           }
         });
@@ -810,8 +859,8 @@
 
   /**
    * Whether the worker must have killed its tasks by now. It counts from the report that was last
-   * answered; one that has not seen this owner's token may have been answered by the former owner for
-   * as long as that one could renew leases.
+   * answered; one that has not seen this owner's token may have been answered by the former owner
+   * for as long as that one could renew leases.
    */
   private boolean leaseOver(Machine machine, long now) {
     double drift = 1 + Constants.CLOCK_DRIFT;
@@ -826,7 +875,10 @@
 
   public Map<String, Integer> states() {
     Map<String, Integer> out = new LinkedHashMap<>();
-    machines.values().forEach(m -> out.merge(m.state().name().toLowerCase(java.util.Locale.ROOT), 1, Integer::sum));
+    machines
+        .values()
+        .forEach(
+            m -> out.merge(m.state().name().toLowerCase(java.util.Locale.ROOT), 1, Integer::sum));
     return out;
   }
 }
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -62,8 +62,13 @@
     String image = "";
     long since;
     long sentSerial;
-    /** The token under which its start went straight to the worker; a repeat of that call carries it too. */
+
+    /**
+     * The token under which its start went straight to the worker; a repeat of that call carries it
+     * too.
+     */
     long startToken = -1;
+
     long awaitToken;
     int stopGrace = -1;
     long stopSentAt;
@@ -78,7 +83,10 @@
       return state != TaskState.EXITED;
     }
 
-    /** Whether it was told to stop and has to be told again; one that saves is left to it while it may. */
+    /**
+     * Whether it was told to stop and has to be told again; one that saves is left to it while it
+     * may.
+     */
     boolean toStop() {
       return stopGrace >= 0
           && onMachine()
@@ -98,8 +106,10 @@
   final long assignedAt;
   private MachineState state;
   private long step;
+
   /** The token that the worker must have seen before the machine counts as settled. */
   private long wantedToken;
+
   private long clearsRaisedAt = Long.MIN_VALUE / 2;
   long tenure;
   long serial;
@@ -115,13 +125,17 @@
   int directFailures;
   long syncTriedAt = Long.MIN_VALUE / 2;
   boolean leaseOver;
+
   /** The last tenure whose lease is known to be over. */
   private long overTenure;
+
   final Map<Key, Entry> entries = new LinkedHashMap<>();
   final Set<String> images = new LinkedHashSet<>();
   private int imageChanges;
+
   /** What is kept for each job, and until when. */
   private final Map<String, Keep> keeps = new LinkedHashMap<>();
+
   private final Set<String> failedJobs = new HashSet<>();
 
   Machine(String name, MachineOwner place, long now) {
@@ -164,9 +178,10 @@
 
   /**
    * Raises the token when tasks wait to be cleared whose start may come once more. A call that was
-   * carried out can be repeated minutes later; after a clear the worker would not know the attempt and
-   * run it again, beside its successor or after its job was cancelled. The raised token may go with the
-   * clear: the worker takes in both or neither. No direct call may be under way, since it would be refused.
+   * carried out can be repeated minutes later; after a clear the worker would not know the attempt
+   * and run it again, beside its successor or after its job was cancelled. The raised token may go
+   * with the clear: the worker takes in both or neither. No direct call may be under way, since it
+   * would be refused.
    */
   void voidStartsToClear(long now, double pauseS) {
     if (busyDirect || (now - clearsRaisedAt) / 1e9 < pauseS) {
@@ -181,7 +196,9 @@
     }
   }
 
-  /** The worker has seen a token of this generation, so no former owner's command counts any more. */
+  /**
+   * The worker has seen a token of this generation, so no former owner's command counts any more.
+   */
   boolean mine() {
     return seenToken >= place.generation() * Constants.TOKENS_PER_GENERATION;
   }
@@ -212,9 +229,9 @@
   }
 
   /**
-   * Keeps room for a job: what was made for it, which the task that was stopped could take again, or
-   * what it gathers until it has enough. Each job has its own: with one for all, the next job that made
-   * room here set the last one's free, whose victims came back and were stopped again.
+   * Keeps room for a job: what was made for it, which the task that was stopped could take again,
+   * or what it gathers until it has enough. Each job has its own: with one for all, the next job
+   * that made room here set the last one's free, whose victims came back and were stopped again.
    */
   void keepRoom(Preempt ask, long now) {
     Kept room = new Kept(ask.forJob, ask.rank, ask.acceptedAt, ask.cpus, ask.gpus, ask.ram);
@@ -231,7 +248,9 @@
     double[] sum = new double[3];
     for (Keep keep : keeps.values()) {
       Kept room = keep.room;
-      if (now <= keep.until && Need.goesAfter(ask.rank, ask.acceptedAt, ask.job, room.rank, room.acceptedAt, room.forJob)) {
+      if (now <= keep.until
+          && Need.goesAfter(
+              ask.rank, ask.acceptedAt, ask.job, room.rank, room.acceptedAt, room.forJob)) {
         sum[0] += room.cpus;
         sum[1] += room.gpus;
         sum[2] += room.ram;
@@ -261,12 +280,13 @@
   }
 
   /**
-   * Whether the message is older than what is known. One of a tenure whose lease is over was held back: its
-   * tasks are long gone, and some run elsewhere.
+   * Whether the message is older than what is known. One of a tenure whose lease is over was held
+   * back: its tasks are long gone, and some run elsewhere.
    */
   boolean stale(WorkerReport report) {
     return report.tenure() <= overTenure
-        || report.tenure() < tenure || (report.tenure() == tenure && report.serial() <= serial);
+        || report.tenure() < tenure
+        || (report.tenure() == tenure && report.serial() <= serial);
   }
 
   /**
@@ -330,7 +350,8 @@
    * from the start that was sent. A report without it is no proof while a direct start may still be
    * under way: commands can be held back and arrive minutes later.
    */
-  private static boolean settledAbsent(Entry entry, WorkerReport said, boolean report, boolean newTenure) {
+  private static boolean settledAbsent(
+      Entry entry, WorkerReport said, boolean report, boolean newTenure) {
     return switch (entry.start) {
       case SEEN -> true;
       case QUEUED -> false;
@@ -371,8 +392,9 @@
   }
 
   /**
-   * Orders to send now; those sent get marked. A stop goes again until a message without the task comes, and also
-   * with the answer that first shows the worker a new token, which renews its lease.
+   * Orders to send now; those sent get marked. A stop goes again until a message without the task
+   * comes, and also with the answer that first shows the worker a new token, which renews its
+   * lease.
    */
   ArrayNode orders(boolean direct, boolean startsToo, long now) {
     ArrayNode orders = Json.array();
@@ -387,7 +409,10 @@
           orders.add(order("stop", entry).put("wind_down_s", entry.stopGrace));
           entry.stopSentAt = now;
         }
-      } else if (mine() && entry.clear && entry.state == TaskState.EXITED && entry.startToken < token()) {
+      } else if (mine()
+          && entry.clear
+          && entry.state == TaskState.EXITED
+          && entry.startToken < token()) {
         orders.add(order("clear", entry));
       }
     }
--- a/src/main/java/org/sandford/machine/Roster.java
+++ b/src/main/java/org/sandford/machine/Roster.java
@@ -12,7 +12,10 @@
 
 /** What the owners of all shares last said of their machines. */
 public final class Roster {
-  /** A view with the label of the controller that gave it, and the time when it did, on the steady clock. */
+  /**
+   * A view with the label of the controller that gave it, and the time when it did, on the steady
+   * clock.
+   */
   public record Seen(String owner, MachineView view, long at) {}
 
   private final Loop loop;
@@ -27,7 +30,9 @@
     this.share = share;
   }
 
-  /** Counts views that were looked at, so that tests can hold the cost of reports, plans and ticks. */
+  /**
+   * Counts views that were looked at, so that tests can hold the cost of reports, plans and ticks.
+   */
   public long looks() {
     return looks;
   }
@@ -43,7 +48,8 @@
     if (views.complete) {
       seen.values().removeIf(s -> s.owner.equals(from));
     }
-    views.gone.forEach(name -> seen.computeIfPresent(name, (n, s) -> s.owner.equals(from) ? null : s));
+    views.gone.forEach(
+        name -> seen.computeIfPresent(name, (n, s) -> s.owner.equals(from) ? null : s));
     for (MachineView view : views.machines) {
       taken++;
       if (fresh(view)) {
--- a/src/main/java/org/sandford/machine/WorkerReport.java
+++ b/src/main/java/org/sandford/machine/WorkerReport.java
@@ -24,7 +24,9 @@
 
   /** The report, or null when the document is none. */
   public static WorkerReport read(JsonNode node) {
-    if (!node.isObject() || !node.path("host").isTextual() || !node.path("tenure").isIntegralNumber()) {
+    if (!node.isObject()
+        || !node.path("host").isTextual()
+        || !node.path("tenure").isIntegralNumber()) {
       return null;
     }
     List<Held> tasks = new ArrayList<>();
@@ -57,7 +59,8 @@
 
   private static TaskState state(String wire) {
     return switch (wire) {
-      // A gang's task that waits for the others occupies its place and does not run yet, like one that fetches.
+      // A gang's task that waits for the others occupies its place and does not run yet, like one
+      // that fetches.
       case "pulling", "gathering" -> TaskState.FETCHING;
       case "saving" -> TaskState.SAVING;
       case "ended" -> TaskState.EXITED;
--- a/src/main/java/org/sandford/net/NettyHttpClient.java
+++ b/src/main/java/org/sandford/net/NettyHttpClient.java
@@ -33,9 +33,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Keeps connections open per address; one request at a time on each, none pipelined. Workers are many
- * and sockets few, so only so many connections to them are open at once: the one that was idle the
- * longest makes way, and what finds none waits its turn. The services' connections do not count.
+ * Keeps connections open per address; one request at a time on each, none pipelined. Workers are
+ * many and sockets few, so only so many connections to them are open at once: the one that was idle
+ * the longest makes way, and what finds none waits its turn. The services' connections do not
+ * count.
  */
 public final class NettyHttpClient implements HttpCalls {
   private static final Logger log = LoggerFactory.getLogger(NettyHttpClient.class);
@@ -65,11 +66,20 @@
   }
 
   @Override
-  public void send(String address, String method, String path, byte[] body, long timeoutMs, Consumer<Reply> done) {
+  public void send(
+      String address,
+      String method,
+      String path,
+      byte[] body,
+      long timeoutMs,
+      Consumer<Reply> done) {
     byte[] content = body == null ? new byte[0] : body;
     FullHttpRequest request =
         new DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, Unpooled.wrappedBuffer(content));
+            HttpVersion.HTTP_1_1,
+            HttpMethod.valueOf(method),
+            path,
+            Unpooled.wrappedBuffer(content));
     request.headers().set(HttpHeaderNames.HOST, address);
     request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.length);
     if (body != null) {
@@ -123,17 +133,24 @@
               protected void initChannel(Channel channel) {
                 channel
                     .pipeline()
-                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(RESPONSE_BYTES), connection);
+                    .addLast(
+                        new HttpClientCodec(),
+                        new HttpObjectAggregator(RESPONSE_BYTES),
+                        connection);
               }
             })
         .connect(new InetSocketAddress(target.getHost(), target.getPort()))
         .addListener(
             (io.netty.channel.ChannelFuture future) -> {
               if (counts) {
-                future.channel().closeFuture().addListener(closed -> {
-                  open--;
-                  takeTurns();
-                });
+                future
+                    .channel()
+                    .closeFuture()
+                    .addListener(
+                        closed -> {
+                          open--;
+                          takeTurns();
+                        });
               }
               if (!future.isSuccess()) {
                 future.channel().close();
--- a/src/main/java/org/sandford/net/NettyHttpServer.java
+++ b/src/main/java/org/sandford/net/NettyHttpServer.java
@@ -34,9 +34,10 @@
 /**
  * Takes users', workers' and health requests and hands each to one function that answers later.
  *
- * <p>Sockets are few and workers many: one controller that is left alone gets the reports of a whole
- * fleet. So workers keep only their part of the connections; what exceeds it is answered and then closed.
- * When all are taken, the one that was idle the longest makes way, a worker's before a user's.
+ * <p>Sockets are few and workers many: one controller that is left alone gets the reports of a
+ * whole fleet. So workers keep only their part of the connections; what exceeds it is answered and
+ * then closed. When all are taken, the one that was idle the longest makes way, a worker's before a
+ * user's.
  */
 public final class NettyHttpServer {
   /** Answers a request by calling back once. */
@@ -50,8 +51,10 @@
   private final int most;
   private final int mostOfWorkers;
   private final Set<Connection> all = new LinkedHashSet<>();
+
   /** Those without a request under way, the one that was idle the longest first. */
   private final Set<Connection> idleWorkers = new LinkedHashSet<>();
+
   private final Set<Connection> idleUsers = new LinkedHashSet<>();
   private int workers;
 
@@ -78,7 +81,9 @@
                       channel.close();
                       return;
                     }
-                    channel.pipeline().addLast(new HttpServerCodec(), new Bodies(), new Connection());
+                    channel
+                        .pipeline()
+                        .addLast(new HttpServerCodec(), new Bodies(), new Connection());
                   }
                 })
             .bind(new InetSocketAddress(host, port))
@@ -102,7 +107,9 @@
     return response;
   }
 
-  /** Collects bodies; one that is too large is a malformed request (400), and ends the connection. */
+  /**
+   * Collects bodies; one that is too large is a malformed request (400), and ends the connection.
+   */
   private static final class Bodies extends HttpObjectAggregator {
     Bodies() {
       super(Constants.BODY_BYTES);
@@ -111,7 +118,8 @@
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
       FullHttpResponse refusal =
-          response(Answer.refuse(400, "the body is larger than " + Constants.BODY_BYTES + " bytes"));
+          response(
+              Answer.refuse(400, "the body is larger than " + Constants.BODY_BYTES + " bytes"));
       refusal.headers().set(HttpHeaderNames.CONNECTION, "close");
       ctx.writeAndFlush(refusal).addListener(ChannelFutureListener.CLOSE);
     }
--- a/src/main/java/org/sandford/net/NettyLoop.java
+++ b/src/main/java/org/sandford/net/NettyLoop.java
@@ -55,9 +55,9 @@
   }
 
   /**
-   * Lets events gather for a moment while many come: each time the process is woken costs far more than
-   * one event more in the same go, and a large fleet's reports come one by one. While few come, each is
-   * taken at once.
+   * Lets events gather for a moment while many come: each time the process is woken costs far more
+   * than one event more in the same go, and a large fleet's reports come one by one. While few
+   * come, each is taken at once.
    */
   private static final class Pace implements SelectStrategy {
     private long rested = System.nanoTime();
@@ -79,7 +79,9 @@
     }
   }
 
-  /** A fault in one event is logged and must not end the loop, nor the timer that repeats itself. */
+  /**
+   * A fault in one event is logged and must not end the loop, nor the timer that repeats itself.
+   */
   private static Runnable guarded(Runnable what) {
     return () -> {
       try {
--- a/src/main/java/org/sandford/net/NettyPeers.java
+++ b/src/main/java/org/sandford/net/NettyPeers.java
@@ -76,7 +76,8 @@
         channel
             .pipeline()
             .addLast(
-                // What is written in one go leaves as one packet: each packet wakes the other side once.
+                // What is written in one go leaves as one packet: each packet wakes the other side
+                // once.
                 new FlushConsolidationHandler(Constants.PEER_FLUSHES_TOGETHER, true),
                 new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_BYTES, 0, 4, 0, 4),
                 new LengthFieldPrepender(4),
@@ -123,7 +124,8 @@
     @Override
     public void send(byte[] frame) {
       if (channel.unsafe().outboundBuffer() != null
-          && channel.unsafe().outboundBuffer().totalPendingWriteBytes() > Constants.PEER_BACKLOG_BYTES) {
+          && channel.unsafe().outboundBuffer().totalPendingWriteBytes()
+              > Constants.PEER_BACKLOG_BYTES) {
         log.info("a peer does not read; its link is closed");
         channel.close();
         return;
--- a/src/main/java/org/sandford/peer/FrameCodec.java
+++ b/src/main/java/org/sandford/peer/FrameCodec.java
@@ -11,10 +11,13 @@
 import org.apache.avro.specific.SpecificDatumWriter;
 import org.sandford.peer.wire.Frame;
 
-/** Frames as Avro's binary encoding. Both ends must have the same schema, which the greeting checks. */
+/**
+ * Frames as Avro's binary encoding. Both ends must have the same schema, which the greeting checks.
+ */
 public final class FrameCodec {
   /** The schema's fingerprint. */
-  public static final long SCHEMA = SchemaNormalization.parsingFingerprint64(Frame.getClassSchema());
+  public static final long SCHEMA =
+      SchemaNormalization.parsingFingerprint64(Frame.getClassSchema());
 
   private final SpecificDatumWriter<Frame> writer = new SpecificDatumWriter<>(Frame.class);
   private final SpecificDatumReader<Frame> reader = new SpecificDatumReader<>(Frame.class);
--- a/src/main/java/org/sandford/peer/PeerLinks.java
+++ b/src/main/java/org/sandford/peer/PeerLinks.java
@@ -58,14 +58,19 @@
   private final java.util.function.LongSupplier incarnation;
   private final Map<String, Out> outs = new LinkedHashMap<>();
   private final Map<String, In> ins = new LinkedHashMap<>();
+
   /** The newest greeting of each peer, kept when its link ends: a late older one stays refused. */
   private final Map<String, Hello> newest = new LinkedHashMap<>();
+
   private Serving serving;
   private Asking asking;
   private long sessions;
 
   public PeerLinks(
-      Loop loop, Settings settings, PeerTransport transport, java.util.function.LongSupplier incarnation) {
+      Loop loop,
+      Settings settings,
+      PeerTransport transport,
+      java.util.function.LongSupplier incarnation) {
     this.loop = loop;
     this.settings = settings;
     this.transport = transport;
@@ -114,7 +119,10 @@
   @Override
   public boolean ask(String label, Object message) {
     if (self(label)) {
-      loop.execute(() -> serving.request(label, message, answer -> loop.execute(() -> asking.told(label, answer))));
+      loop.execute(
+          () ->
+              serving.request(
+                  label, message, answer -> loop.execute(() -> asking.told(label, answer))));
       return true;
     }
     Out out = outs.get(label);
@@ -129,7 +137,9 @@
   @Override
   public void askOthers(Object message) {
     byte[] frame = codec.encode(message);
-    outs.values().stream().filter(o -> o.state == Dialled.LIVE).forEach(o -> o.connection.send(frame));
+    outs.values().stream()
+        .filter(o -> o.state == Dialled.LIVE)
+        .forEach(o -> o.connection.send(frame));
   }
 
   /** Tells all that have dialled in, and this controller itself. */
@@ -302,7 +312,9 @@
     }
 
     private void greet(Object message) {
-      if (!(message instanceof Hello said) || said.fingerprint != FrameCodec.SCHEMA || !outs.containsKey(said.label)) {
+      if (!(message instanceof Hello said)
+          || said.fingerprint != FrameCodec.SCHEMA
+          || !outs.containsKey(said.label)) {
         end("it did not greet as a controller with the same schema");
         return;
       }
--- a/src/main/java/org/sandford/placement/Need.java
+++ b/src/main/java/org/sandford/placement/Need.java
@@ -48,17 +48,21 @@
   }
 
   /**
-   * Whether the first job has to leave kept room to the second: by rank, then by arrival. It is the same
-   * order everywhere, so two jobs cannot hold for ever what the other lacks.
+   * Whether the first job has to leave kept room to the second: by rank, then by arrival. It is the
+   * same order everywhere, so two jobs cannot hold for ever what the other lacks.
    */
-  public static boolean goesAfter(int rank, long acceptedAt, String job, int otherRank, long otherAcceptedAt, String other) {
+  public static boolean goesAfter(
+      int rank, long acceptedAt, String job, int otherRank, long otherAcceptedAt, String other) {
     if (rank != otherRank) {
       return rank > otherRank;
     }
     return acceptedAt != otherAcceptedAt ? acceptedAt > otherAcceptedAt : job.compareTo(other) > 0;
   }
 
-  /** Whether its tasks start the sooner the sooner all have their image, so that a warm machine anywhere is best. */
+  /**
+   * Whether its tasks start the sooner the sooner all have their image, so that a warm machine
+   * anywhere is best.
+   */
   public boolean prefersWarm() {
     return service || gang;
   }
@@ -66,8 +70,24 @@
   /** The same with only one zone allowed. */
   public Need in(String onlyZone) {
     return new Need(
-        job, rank, acceptedAt, cpus, gpus, ram, kinds, onlyZone, reclaimable, together, scatter, service, gang, total,
-        zonesHeld, machinesHeld, avoid, image);
+        job,
+        rank,
+        acceptedAt,
+        cpus,
+        gpus,
+        ram,
+        kinds,
+        onlyZone,
+        reclaimable,
+        together,
+        scatter,
+        service,
+        gang,
+        total,
+        zonesHeld,
+        machinesHeld,
+        avoid,
+        image);
   }
 
   /** How many of the tasks the machine's free room holds. */
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -34,8 +34,8 @@
   }
 
   /**
-   * Places up to {@code count} tasks; the own share first, then the others. The rooms of the plan are
-   * taken from. Without a place for all, {@code allOrNone} yields null and takes nothing.
+   * Places up to {@code count} tasks; the own share first, then the others. The rooms of the plan
+   * are taken from. Without a place for all, {@code allOrNone} yields null and takes nothing.
    */
   public Plan place(Need need, int count, Collection<Room> rooms, boolean allOrNone) {
     if (!need.together()) {
@@ -44,7 +44,10 @@
     Plan best = null;
     for (String zone : zonesFor(need, rooms)) {
       Plan plan = attempt(need, count, rooms, zone);
-      if (plan.tasks > 0 && (best == null || plan.tasks > best.tasks || (plan.tasks == best.tasks && plan.score < best.score))) {
+      if (plan.tasks > 0
+          && (best == null
+              || plan.tasks > best.tasks
+              || (plan.tasks == best.tasks && plan.score < best.score))) {
         best = plan;
       }
     }
@@ -52,8 +55,8 @@
   }
 
   /**
-   * At the most how many of the tasks the rooms hold, counted up to {@code enough}; spreading rules are
-   * left out. It costs a look at each room, so a plan that cannot succeed need not be made.
+   * At the most how many of the tasks the rooms hold, counted up to {@code enough}; spreading rules
+   * are left out. It costs a look at each room, so a plan that cannot succeed need not be made.
    */
   public static int bound(Need need, int enough, Collection<Room> rooms) {
     int sum = 0;
@@ -71,11 +74,13 @@
   /** A job that must stay together keeps the zone it has; otherwise every zone is tried. */
   private static Set<String> zonesFor(Need need, Collection<Room> rooms) {
     Set<String> held = new TreeSet<>();
-    need.zonesHeld().forEach((zone, n) -> {
-      if (n > 0) {
-        held.add(zone);
-      }
-    });
+    need.zonesHeld()
+        .forEach(
+            (zone, n) -> {
+              if (n > 0) {
+                held.add(zone);
+              }
+            });
     if (!held.isEmpty()) {
       return held.size() == 1 ? held : Set.of();
     }
@@ -99,8 +104,11 @@
     List<Room> own = new ArrayList<>();
     List<Room> others = new ArrayList<>();
     for (Room room : rooms) {
-      if (need.allows(room) && (zone.isEmpty() || zone.equals(room.zone)) && need.fitting(room) > 0) {
-        // A service or a gang looks at all shares at once: a warm machine elsewhere starts it sooner than a cold
+      if (need.allows(room)
+          && (zone.isEmpty() || zone.equals(room.zone))
+          && need.fitting(room) > 0) {
+        // A service or a gang looks at all shares at once: a warm machine elsewhere starts it
+        // sooner than a cold
         // one here.
         (room.own || need.prefersWarm() ? own : others).add(room);
       }
@@ -122,9 +130,9 @@
 
   /**
    * Tasks without a spreading rule: a chosen machine takes all that it holds, so each candidate is
-   * chosen once at the most. The others' scores change only when the plan gets its first machine or a
-   * new zone, and only then are they counted anew; a large array on a large fleet would otherwise cost
-   * as many scores as there are pairs of slots and machines.
+   * chosen once at the most. The others' scores change only when the plan gets its first machine or
+   * a new zone, and only then are they counted anew; a large array on a large fleet would otherwise
+   * cost as many scores as there are pairs of slots and machines.
    */
   private int pack(
       Need need,
@@ -191,7 +199,8 @@
       int bestInZone = 0;
       for (Room room : candidates) {
         int inZone = zones.getOrDefault(room.zone, 0);
-        if (inZone >= need.scatterLimit() || need.fitting(room) - taken.getOrDefault(room, 0) <= 0) {
+        if (inZone >= need.scatterLimit()
+            || need.fitting(room) - taken.getOrDefault(room, 0) <= 0) {
           continue;
         }
         scored++;
@@ -228,7 +237,8 @@
   }
 
   /** What one more task on this machine adds to the plan's score. */
-  static double score(Need need, Room room, Map<String, Integer> zones, Set<String> machines, int taken) {
+  static double score(
+      Need need, Room room, Map<String, Integer> zones, Set<String> machines, int taken) {
     double cost = 0;
     if (!machines.isEmpty() && !machines.contains(room.machine)) {
       cost += Constants.COST_MACHINE;
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -11,18 +11,26 @@
 import org.sandford.Constants;
 
 /**
- * Chooses whom to stop so that tasks find room: as little progress as can be, the lowest rank first.
- * Pure: who may be stopped at all is decided by the caller.
+ * Chooses whom to stop so that tasks find room: as little progress as can be, the lowest rank
+ * first. Pure: who may be stopped at all is decided by the caller.
  */
 public final class Preemption {
   /**
    * A task that may be stopped.
    *
-   * @param lossCpuS the processor seconds of work that are lost with it; for a task of a gang, those of the whole
-   *     gang, whose other tasks stop with it
+   * @param lossCpuS the processor seconds of work that are lost with it; for a task of a gang,
+   *     those of the whole gang, whose other tasks stop with it
    */
   public record Victim(
-      String machine, String team, String job, int task, long attempt, int rank, double cpus, double gpus, double ram,
+      String machine,
+      String team,
+      String job,
+      int task,
+      long attempt,
+      int rank,
+      double cpus,
+      double gpus,
+      double ram,
       double lossCpuS) {
     /** The same task as one of a gang that loses so much. */
     public Victim losing(double gangLossCpuS) {
@@ -36,10 +44,11 @@
   private Preemption() {}
 
   /**
-   * Finds room for {@code count} tasks with the help of victims; null when it cannot be had. Free room
-   * counts first. Nothing is taken from the rooms.
+   * Finds room for {@code count} tasks with the help of victims; null when it cannot be had. Free
+   * room counts first. Nothing is taken from the rooms.
    */
-  public static List<Eviction> choose(Need need, int count, Collection<Room> rooms, List<Victim> victims, boolean allOrNone) {
+  public static List<Eviction> choose(
+      Need need, int count, Collection<Room> rooms, List<Victim> victims, boolean allOrNone) {
     if (need.together() && need.zone().isEmpty() && need.zonesHeld().isEmpty()) {
       return cheapestZone(need, count, rooms, victims, allOrNone);
     }
@@ -47,14 +56,20 @@
     for (Victim v : victims) {
       byMachine.computeIfAbsent(v.machine, m -> new ArrayList<>()).add(v);
     }
-    byMachine.values().forEach(
-        list -> list.sort(Comparator.comparingInt((Victim v) -> -v.rank).thenComparingDouble(Victim::lossCpuS)));
+    byMachine
+        .values()
+        .forEach(
+            list ->
+                list.sort(
+                    Comparator.comparingInt((Victim v) -> -v.rank)
+                        .thenComparingDouble(Victim::lossCpuS)));
     Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
     Map<Room, double[]> free = new LinkedHashMap<>();
     for (Room room : rooms) {
       if (need.allows(room)) {
         double[] from = room.keptFrom(need);
-        // What is kept for the job counts as free, even while those who were stopped for it still leave:
+        // What is kept for the job counts as free, even while those who were stopped for it still
+        // leave:
         // otherwise others would be stopped once more.
         double[] own = room.keptFor(need);
         free.put(
@@ -109,7 +124,9 @@
     return useful ? new ArrayList<>(out.values()) : null;
   }
 
-  /** Tries each zone by itself: the zone of the cheapest first victim may have no room for the rest. */
+  /**
+   * Tries each zone by itself: the zone of the cheapest first victim may have no room for the rest.
+   */
   private static List<Eviction> cheapestZone(
       Need need, int count, Collection<Room> rooms, List<Victim> victims, boolean allOrNone) {
     List<Eviction> best = null;
@@ -132,11 +149,15 @@
   }
 
   private static double loss(List<Eviction> evictions) {
-    return evictions.stream().flatMap(e -> e.victims().stream()).mapToDouble(Victim::lossCpuS).sum();
+    return evictions.stream()
+        .flatMap(e -> e.victims().stream())
+        .mapToDouble(Victim::lossCpuS)
+        .sum();
   }
 
   /** What one more task on this machine would cost. */
-  private record Offer(Room room, List<Victim> stop, double loss, int order) implements Comparable<Offer> {
+  private record Offer(Room room, List<Victim> stop, double loss, int order)
+      implements Comparable<Offer> {
     @Override
     public int compareTo(Offer other) {
       int byLoss = Double.compare(loss, other.loss);
@@ -145,7 +166,12 @@
   }
 
   private static void offer(
-      Need need, Room room, double[] free, Map<String, List<Victim>> byMachine, int order, PriorityQueue<Offer> offers) {
+      Need need,
+      Room room,
+      double[] free,
+      Map<String, List<Victim>> byMachine,
+      int order,
+      PriorityQueue<Offer> offers) {
     List<Victim> stop = enough(need, free, byMachine.getOrDefault(room.machine, List.of()));
     if (stop != null) {
       offers.add(new Offer(room, stop, stop.stream().mapToDouble(Victim::lossCpuS).sum(), order));
@@ -168,6 +194,8 @@
       gpus += v.gpus;
       ram += v.ram;
     }
-    return need.cpus() <= cpus + e && need.gpus() <= gpus + e && need.ram() <= ram + e ? stop : null;
+    return need.cpus() <= cpus + e && need.gpus() <= gpus + e && need.ram() <= ram + e
+        ? stop
+        : null;
   }
 }
--- a/src/main/java/org/sandford/placement/Room.java
+++ b/src/main/java/org/sandford/placement/Room.java
@@ -19,16 +19,27 @@
   public final double cpus;
   public final double gpus;
   public final double ram;
+
   /** Images that the machine is known to have. */
   public Set<String> images = Set.of();
+
   /** What of the room is kept for jobs. */
   public List<Kept> kept = List.of();
+
   public double freeCpus;
   public double freeGpus;
   public double freeRam;
 
   public Room(
-      String machine, String owner, String kind, String zone, boolean spot, boolean own, double cpus, double gpus, double ram) {
+      String machine,
+      String owner,
+      String kind,
+      String zone,
+      boolean spot,
+      boolean own,
+      double cpus,
+      double gpus,
+      double ram) {
     this.machine = machine;
     this.owner = owner;
     this.kind = kind;
--- a/src/main/java/org/sandford/settings/Settings.java
+++ b/src/main/java/org/sandford/settings/Settings.java
@@ -28,8 +28,9 @@
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
   /**
-   * What the platform tells of the deployment. The store's limits are the smaller of those in force and those
-   * announced in {@code state.next}, since the store may change to the latter at any moment.
+   * What the platform tells of the deployment. The store's limits are the smaller of those in force
+   * and those announced in {@code state.next}, since the store may change to the latter at any
+   * moment.
    */
   public record Facts(
       List<String> zones,
--- a/src/main/java/org/sandford/settings/SettingsLoader.java
+++ b/src/main/java/org/sandford/settings/SettingsLoader.java
@@ -44,8 +44,7 @@
     List<Settings.Other> others = new ArrayList<>();
     for (Section other : top.list("others")) {
       others.add(
-          new Settings.Other(
-              other.text("label"), other.text("zone"), other.endpoint("address")));
+          new Settings.Other(other.text("label"), other.text("zone"), other.endpoint("address")));
     }
     Section services = top.section("services");
     Section facts = top.section("facts");
@@ -114,7 +113,11 @@
       String key = keys.next();
       if (!INI_KEYS.contains(key)) {
         throw new SettingsException(
-            ini + ": " + key + ": unknown key; expected one of " + new java.util.TreeSet<>(INI_KEYS));
+            ini
+                + ": "
+                + key
+                + ": unknown key; expected one of "
+                + new java.util.TreeSet<>(INI_KEYS));
       }
     }
     double max = number(ini, read, "fleet.max_machines", Constants.DEFAULT_MAX_MACHINES, 1);
@@ -126,7 +129,8 @@
     return new Settings.Operators((int) max, spot.equals("true"), idle);
   }
 
-  private static double number(Path ini, INIConfiguration read, String key, double byDefault, double least)
+  private static double number(
+      Path ini, INIConfiguration read, String key, double byDefault, double least)
       throws SettingsException {
     String text = read.getString(key);
     if (text == null) {
@@ -140,7 +144,8 @@
     } catch (NumberFormatException e) {
       // Falls through to the complaint below, which tells all that the parser would.
     }
-    throw new SettingsException(ini + ": " + key + ": expected a number of at least " + least + ", got " + text);
+    throw new SettingsException(
+        ini + ": " + key + ": expected a number of at least " + least + ", got " + text);
   }
 
   private static String oneLine(String text) {
@@ -149,8 +154,14 @@
 
   /** The limits of the state service that hold at any moment. */
   private record StateLimits(
-      double requestsPerSecond, double changesPerSecond, int valueBytes, int changesPerTransaction) {
-    /** The smaller of what is in force and of what {@code next} announces; a lacking one stays as it is. */
+      double requestsPerSecond,
+      double changesPerSecond,
+      int valueBytes,
+      int changesPerTransaction) {
+    /**
+     * The smaller of what is in force and of what {@code next} announces; a lacking one stays as it
+     * is.
+     */
     static StateLimits read(Section state) throws SettingsException {
       return new StateLimits(
           smaller(state, "rps"),
--- a/src/main/java/org/sandford/share/AssignmentMap.java
+++ b/src/main/java/org/sandford/share/AssignmentMap.java
@@ -14,10 +14,10 @@
 
 /**
  * The assignment map: who owns which team and which machine, each with the generation of its last
- * change. The teams are one value, on whose revision every record write leans. The machines are many
- * values, the parts, since a fleet outgrows what the store takes as one; each change of any part also
- * writes the head, so that changes of different parts cannot overtake each other. An owner is one life
- * of a controller: label and incarnation.
+ * change. The teams are one value, on whose revision every record write leans. The machines are
+ * many values, the parts, since a fleet outgrows what the store takes as one; each change of any
+ * part also writes the head, so that changes of different parts cannot overtake each other. An
+ * owner is one life of a controller: label and incarnation.
  */
 public final class AssignmentMap {
   private AssignmentMap() {}
@@ -59,14 +59,19 @@
       root.path("t")
           .fields()
           .forEachRemaining(
-              e -> of.put(e.getKey(), new TeamOwner(e.getValue().path(0).asText(), e.getValue().path(1).asLong())));
+              e ->
+                  of.put(
+                      e.getKey(),
+                      new TeamOwner(e.getValue().path(0).asText(), e.getValue().path(1).asLong())));
       return new Teams(revision, root.path("n").asLong(), of);
     }
   }
 
   /** Some of the machines, stored as one value. */
   public record Part(long revision, Map<String, MachineOwner> of) {
-    /** Owners and sorts of machines are named once and then by their place, which keeps parts small. */
+    /**
+     * Owners and sorts of machines are named once and then by their place, which keeps parts small.
+     */
     ObjectNode json() {
       Table owners = new Table();
       Table sorts = new Table();
@@ -146,7 +151,8 @@
     Machines with(long headRevision, long headLast, Map<Integer, Part> newer) {
       Map<Integer, Part> next = new TreeMap<>(parts);
       newer.forEach(
-          (number, part) -> next.merge(number, part, (old, now) -> now.revision > old.revision ? now : old));
+          (number, part) ->
+              next.merge(number, part, (old, now) -> now.revision > old.revision ? now : old));
       Map<String, MachineOwner> all = new LinkedHashMap<>();
       next.values().forEach(part -> all.putAll(part.of));
       boolean headNewer = headRevision > revision;
--- a/src/main/java/org/sandford/share/MachinePlanner.java
+++ b/src/main/java/org/sandford/share/MachinePlanner.java
@@ -18,13 +18,13 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Plans one change of the machines' part of the assignment map: what the leader wishes, and an owner for each machine
- * whose owner is gone. Pure, and made anew for each plan; one plan fits into one transaction, and what does not fit is
- * found anew after it.
+ * Plans one change of the machines' part of the assignment map: what the leader wishes, and an
+ * owner for each machine whose owner is gone. Pure, and made anew for each plan; one plan fits into
+ * one transaction, and what does not fit is found anew after it.
  *
- * <p>A part that outgrew the store's value limit, because it was written under a larger one, is split. Its machines
- * are first copied to parts with higher numbers, which count before lower ones, and leave it once all that it has to
- * lose stand there.
+ * <p>A part that outgrew the store's value limit, because it was written under a larger one, is
+ * split. Its machines are first copied to parts with higher numbers, which count before lower ones,
+ * and leave it once all that it has to lose stand there.
  */
 final class MachinePlanner {
   private static final Logger log = LoggerFactory.getLogger(MachinePlanner.class);
@@ -33,7 +33,8 @@
   private static final int OTHER_CHANGES = 2;
 
   /** What the leader wants changed. */
-  record Changes(Collection<Share.NewMachine> adds, Set<String> removes, Map<String, String> moves) {}
+  record Changes(
+      Collection<Share.NewMachine> adds, Set<String> removes, Map<String, String> moves) {}
 
   /**
    * The parts to be written, each with the revision that it follows.
@@ -46,13 +47,17 @@
   private final Machines machines;
   private final Set<String> live;
   private final Map<Integer, Map<String, MachineOwner>> drafts = new TreeMap<>();
+
   /** The part that counts for each machine: of two that name it, the one with the higher number. */
   private final Map<String, Integer> partOfMachine = new HashMap<>();
+
   private final Map<Integer, Integer> sizes = new TreeMap<>();
   private final Map<String, Integer> owned = new HashMap<>();
   private final Set<String> removed = new TreeSet<>();
+
   /** Parts that are too large still: copies of their machines are written first. */
   private final Set<Integer> splitting = new TreeSet<>();
+
   private long lastGeneration;
 
   MachinePlanner(Settings.Facts facts, Machines machines, Set<String> live) {
@@ -61,7 +66,10 @@
     this.live = live;
     this.lastGeneration = machines.last();
     machines.parts().forEach((number, part) -> sizes.put(number, part.of().size()));
-    machines.parts().forEach((number, part) -> part.of().keySet().forEach(name -> partOfMachine.put(name, number)));
+    machines
+        .parts()
+        .forEach(
+            (number, part) -> part.of().keySet().forEach(name -> partOfMachine.put(name, number)));
     machines.of().values().forEach(this::countOwned);
   }
 
@@ -73,11 +81,13 @@
     return new Plan(lastGeneration, fittingParts());
   }
 
-  // --- wishes ---------------------------------------------------------------------------------------
+  // --- wishes
+  // ---------------------------------------------------------------------------------------
 
   private void remove(String name) {
     Integer number = partOfMachine.get(name);
-    // While an older copy stands in a part that is being split, the removal would bring that one back.
+    // While an older copy stands in a part that is being split, the removal would bring that one
+    // back.
     if (number != null && !hasOlderCopy(name, number)) {
       draft(number).remove(name);
       removed.add(name);
@@ -94,7 +104,10 @@
     if (known == null) {
       int number = roomiest();
       sizes.merge(number, 1, Integer::sum);
-      draft(number).put(add.name(), new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot()));
+      draft(number)
+          .put(
+              add.name(),
+              new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot()));
     } else if (!known.seen() && !add.address().isEmpty() && !removes.contains(add.name())) {
       draft(partOfMachine.get(add.name())).put(add.name(), known.at(add.address()));
     }
@@ -123,7 +136,8 @@
     return best;
   }
 
-  // --- parts that are too large ----------------------------------------------------------------------
+  // --- parts that are too large
+  // ----------------------------------------------------------------------
 
   private void splitIfTooLarge(int number, Part part) {
     if (part.of().size() <= mostEntries()
@@ -134,7 +148,10 @@
     left.keySet().removeIf(name -> partOfMachine.get(name) != number);
     List<String> leaving = new ArrayList<>(left.keySet());
     // Machines without an owner go first: their new owner can be written at once.
-    leaving.sort((a, b) -> Boolean.compare(live.contains(left.get(a).owner()), live.contains(left.get(b).owner())));
+    leaving.sort(
+        (a, b) ->
+            Boolean.compare(
+                live.contains(left.get(a).owner()), live.contains(left.get(b).owner())));
     int excess = leaving.size() - mostEntries();
     int moved = 0;
     while (moved < excess && drafts.size() + OTHER_CHANGES < facts.stateTxnOps()) {
@@ -159,7 +176,8 @@
     return sizes.keySet().stream().mapToInt(Integer::intValue).max().orElse(-1) + 1;
   }
 
-  // --- owners -----------------------------------------------------------------------------------------
+  // --- owners
+  // -----------------------------------------------------------------------------------------
 
   private void assignOwners(Map<String, String> moves) {
     Set<Integer> numbers = new TreeSet<>(machines.parts().keySet());
@@ -179,7 +197,9 @@
     }
   }
 
-  /** The machine's next owner, or null when it keeps the one that it has, or when nobody is there. */
+  /**
+   * The machine's next owner, or null when it keeps the one that it has, or when nobody is there.
+   */
   private String nextOwner(MachineOwner machine, String wish) {
     boolean wished = wish != null && live.contains(wish);
     if (live.contains(machine.owner()) && (!wished || wish.equals(machine.owner()))) {
@@ -201,7 +221,8 @@
         best = member;
         continue;
       }
-      int inZone = owned.getOrDefault(member + "/" + zone, 0) - owned.getOrDefault(best + "/" + zone, 0);
+      int inZone =
+          owned.getOrDefault(member + "/" + zone, 0) - owned.getOrDefault(best + "/" + zone, 0);
       int all = owned.getOrDefault(member, 0) - owned.getOrDefault(best, 0);
       if (inZone < 0 || (inZone == 0 && all < 0)) {
         best = member;
@@ -210,13 +231,19 @@
     return best;
   }
 
-  // --- one transaction ----------------------------------------------------------------------------------
+  // --- one transaction
+  // ----------------------------------------------------------------------------------
 
-  /** The parts that differ from what is stored, as many as one transaction takes; copies before what they copy. */
+  /**
+   * The parts that differ from what is stored, as many as one transaction takes; copies before what
+   * they copy.
+   */
   private Map<Integer, Part> fittingParts() {
     Map<Integer, Part> changed = new TreeMap<>();
     List<Integer> order = new ArrayList<>(drafts.keySet());
-    order.sort((a, b) -> Boolean.compare(machines.parts().containsKey(a), machines.parts().containsKey(b)));
+    order.sort(
+        (a, b) ->
+            Boolean.compare(machines.parts().containsKey(a), machines.parts().containsKey(b)));
     int total = 0;
     for (int number : order) {
       Map<String, MachineOwner> draft = drafts.get(number);
@@ -227,7 +254,9 @@
       Part part = new Part(known == null ? 0 : known.revision(), draft);
       int size = bytes(part);
       if (size > facts.stateValueBytes()) {
-        log.error("part {} of the assignment map outgrows the store's value limit; it is left as it is", number);
+        log.error(
+            "part {} of the assignment map outgrows the store's value limit; it is left as it is",
+            number);
         continue;
       }
       total += size;
@@ -239,14 +268,19 @@
     return changed;
   }
 
-  /** Whether each machine that leaves the part was removed, or stands in another part with this transaction. */
-  private boolean keepsAll(int number, Map<String, MachineOwner> draft, Map<Integer, Part> changed) {
+  /**
+   * Whether each machine that leaves the part was removed, or stands in another part with this
+   * transaction.
+   */
+  private boolean keepsAll(
+      int number, Map<String, MachineOwner> draft, Map<Integer, Part> changed) {
     for (String name : stored(number).keySet()) {
       if (draft.containsKey(name) || removed.contains(name)) {
         continue;
       }
       int other = partOfMachine.get(name);
-      Map<String, MachineOwner> there = changed.containsKey(other) ? changed.get(other).of() : stored(other);
+      Map<String, MachineOwner> there =
+          changed.containsKey(other) ? changed.get(other).of() : stored(other);
       if (other == number || !there.containsKey(name)) {
         return false;
       }
--- a/src/main/java/org/sandford/share/MemberVersions.java
+++ b/src/main/java/org/sandford/share/MemberVersions.java
@@ -16,12 +16,14 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Which version of stored records every configured controller knows. A controller announces its version together
- * with its incarnation, so the announcement outlives the process and is replaced by whichever version starts next.
+ * Which version of stored records every configured controller knows. A controller announces its
+ * version together with its incarnation, so the announcement outlives the process and is replaced
+ * by whichever version starts next.
  *
- * <p>A record that an older version would misread may be written only once all controllers, also those that are
- * down, have announced the version that knows it: one that dies before its upgrade comes back with the old version.
- * This cannot lock up: an upgrade starts each controller once with the new version, and what it announced stays.
+ * <p>A record that an older version would misread may be written only once all controllers, also
+ * those that are down, have announced the version that knows it: one that dies before its upgrade
+ * comes back with the old version. This cannot lock up: an upgrade starts each controller once with
+ * the new version, and what it announced stays.
  */
 public final class MemberVersions {
   private static final Logger log = LoggerFactory.getLogger(MemberVersions.class);
@@ -79,7 +81,8 @@
       versions.put(label, entry.value().path(VERSION).asInt(1));
     }
     allKnowGangs =
-        labels.stream().allMatch(label -> versions.getOrDefault(label, 0) >= Constants.RECORD_VERSION_GANGS);
+        labels.stream()
+            .allMatch(label -> versions.getOrDefault(label, 0) >= Constants.RECORD_VERSION_GANGS);
     if (allKnowGangs) {
       log.info("all controllers know gangs; they are accepted from now on");
     }
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -93,14 +93,18 @@
   private long holdUntil;
   private long membershipTry;
   private long memberRevision;
+
   /** The revision at which the store gave this life its number. */
   private long nameRevision;
 
   private long watchSince = -1;
   private long finalsSince = -1;
+
   /** What the store held at these moments is known here, by its watches. */
   private long finalsFreshAt = Long.MIN_VALUE / 2;
+
   private long mapFreshAt = Long.MIN_VALUE / 2;
+
   /** Ends of jobs that were stored before this moment may be unknown here. */
   private long finalsReadAt = Long.MAX_VALUE / 2;
 
@@ -124,8 +128,10 @@
   private long settledMachines;
   private final Map<String, NewMachine> adds = new LinkedHashMap<>();
   private final Set<String> removes = new TreeSet<>();
+
   /** Removals for which tasks wait. */
   private final Set<String> awaited = new HashSet<>();
+
   private final Map<String, String> moves = new LinkedHashMap<>();
   private final Map<String, Long> yielded = new TreeMap<>();
   private long hires;
@@ -144,7 +150,8 @@
     loop.every(Constants.LEADER_TICK_MS, this::lead);
   }
 
-  // --- what others ask ------------------------------------------------------------------------------
+  // --- what others ask
+  // ------------------------------------------------------------------------------
 
   /** This life of this controller, or an empty text before it has one. */
   public String id() {
@@ -221,7 +228,8 @@
     return new TreeSet<>(members.values());
   }
 
-  // --- membership -----------------------------------------------------------------------------------
+  // --- membership
+  // -----------------------------------------------------------------------------------
 
   private void becomes(Membership next) {
     log.debug("membership: {} -> {}", membership, next);
@@ -368,7 +376,8 @@
         });
   }
 
-  // --- the watches ----------------------------------------------------------------------------------
+  // --- the watches
+  // ----------------------------------------------------------------------------------
 
   private void loadMap() {
     long sentAt = loop.nanos();
@@ -461,7 +470,10 @@
         });
   }
 
-  /** Takes in what the store holds; the machines at once, since each part taken puts all of them together anew. */
+  /**
+   * Takes in what the store holds; the machines at once, since each part taken puts all of them
+   * together anew.
+   */
   private void absorb(List<Entry> entries) {
     long headRevision = 0;
     long last = 0;
@@ -568,8 +580,8 @@
   }
 
   /**
-   * What a peer lacks of the map, or null. Only what was known here a beat ago is shown: the peer's own
-   * watch is as quick as ours, unless it was cut off from the store.
+   * What a peer lacks of the map, or null. Only what was known here a beat ago is shown: the peer's
+   * own watch is as quick as ours, unless it was cut off from the store.
    */
   public MapShown lacking(MapKnown peer) {
     boolean lacksTeams = peer.teamsRevision < settledTeams;
@@ -578,17 +590,20 @@
       return null;
     }
     List<MapPart> parts = new ArrayList<>();
-    machines.parts().forEach(
-        (number, part) -> {
-          if (part.revision() > peer.machinesRevision) {
-            parts.add(new MapPart(number, part.revision(), Json.text(part.json())));
-          }
-        });
+    machines
+        .parts()
+        .forEach(
+            (number, part) -> {
+              if (part.revision() > peer.machinesRevision) {
+                parts.add(new MapPart(number, part.revision(), Json.text(part.json())));
+              }
+            });
     return new MapShown(
         teams.revision(), Json.text(teams.json()), machines.revision(), machines.last(), parts);
   }
 
-  // --- leadership -----------------------------------------------------------------------------------
+  // --- leadership
+  // -----------------------------------------------------------------------------------
 
   private void elect() {
     if (electing || !holdValid() || !mapKnown()) {
@@ -635,8 +650,9 @@
   }
 
   /**
-   * The machine was returned and that was answered, or it was seen to have stopped on its own. Tasks
-   * that were on it start elsewhere once it has left the map, so with {@code heldTasks} it leaves at once.
+   * The machine was returned and that was answered, or it was seen to have stopped on its own.
+   * Tasks that were on it start elsewhere once it has left the map, so with {@code heldTasks} it
+   * leaves at once.
    */
   public void removeMachine(String name, boolean heldTasks) {
     adds.remove(name);
@@ -701,7 +717,8 @@
   private Map<String, List<String>> teamsByOwner() {
     Map<String, List<String>> byOwner = new TreeMap<>();
     members.values().forEach(member -> byOwner.put(member, new ArrayList<>()));
-    teams.of()
+    teams
+        .of()
         .forEach(
             (team, owner) -> {
               if (byOwner.containsKey(owner.owner()) && !isYielded(team)) {
@@ -741,7 +758,8 @@
     Set<String> live = liveIds();
     boolean orphaned = machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()));
     boolean hurried = nextTeams != teams || !awaited.isEmpty() || orphaned;
-    // The users' records go first: what nobody waits for is written when the store has rate to spare.
+    // The users' records go first: what nobody waits for is written when the store has rate to
+    // spare.
     long late = loop.millis() - mapAgainAt;
     boolean ordinary = late >= 0 && (state.hasSpare() || late >= Constants.MAP_LATE_MS);
     if (!hurried && !ordinary) {
@@ -749,7 +767,9 @@
     }
     boolean wishes = !adds.isEmpty() || !removes.isEmpty() || !moves.isEmpty();
     MachinePlanner.Plan plan =
-        orphaned || wishes ? planMachines(live, ordinary) : new MachinePlanner.Plan(machines.last(), Map.of());
+        orphaned || wishes
+            ? planMachines(live, ordinary)
+            : new MachinePlanner.Plan(machines.last(), Map.of());
     Map<Integer, Part> changed = plan.changed();
     long last = plan.lastGeneration();
     Map<String, Long> conditions = new LinkedHashMap<>();
@@ -772,7 +792,8 @@
       return;
     }
     writing = true;
-    double pauseMs = ops.size() * 1000 / (settings.facts().stateWriteRps() * Constants.MAP_RATE_SHARE);
+    double pauseMs =
+        ops.size() * 1000 / (settings.facts().stateWriteRps() * Constants.MAP_RATE_SHARE);
     mapAgainAt = loop.millis() + Math.max(Constants.MAP_PAUSE_MS, (long) pauseMs);
     state.txn(
         conditions,
@@ -786,7 +807,8 @@
             }
             if (!changed.isEmpty()) {
               Map<Integer, Part> written = new TreeMap<>();
-              changed.forEach((number, part) -> written.put(number, new Part(result.revision(), part.of())));
+              changed.forEach(
+                  (number, part) -> written.put(number, new Part(result.revision(), part.of())));
               takeMachines(result.revision(), last, written);
             }
             settleWishes();
@@ -798,7 +820,10 @@
         });
   }
 
-  /** Without {@code ordinary} only what tasks wait for: machines without an owner, and those that left with tasks. */
+  /**
+   * Without {@code ordinary} only what tasks wait for: machines without an owner, and those that
+   * left with tasks.
+   */
   private MachinePlanner.Plan planMachines(Set<String> live, boolean ordinary) {
     MachinePlanner.Changes changes =
         ordinary
@@ -808,8 +833,8 @@
   }
 
   /**
-   * Moves machines from the largest share to the smallest, each with a new generation: a part of the
-   * surplus at a time, so that the shares' owners report their room in between.
+   * Moves machines from the largest share to the smallest, each with a new generation: a part of
+   * the surplus at a time, so that the shares' owners report their room in between.
    */
   private void levelShares() {
     long now = loop.nanos();
@@ -819,21 +844,34 @@
     levelledAt = now;
     Map<String, List<String>> shares = new TreeMap<>();
     members.values().forEach(member -> shares.put(member, new ArrayList<>()));
-    machines.of().forEach((name, m) -> shares.computeIfPresent(m.owner(), (o, names) -> {
-      names.add(name);
-      return names;
-    }));
-    String rich = Collections.max(shares.keySet(), Comparator.comparingInt(o -> shares.get(o).size()));
-    String poor = Collections.min(shares.keySet(), Comparator.comparingInt(o -> shares.get(o).size()));
+    machines
+        .of()
+        .forEach(
+            (name, m) ->
+                shares.computeIfPresent(
+                    m.owner(),
+                    (o, names) -> {
+                      names.add(name);
+                      return names;
+                    }));
+    String rich =
+        Collections.max(shares.keySet(), Comparator.comparingInt(o -> shares.get(o).size()));
+    String poor =
+        Collections.min(shares.keySet(), Comparator.comparingInt(o -> shares.get(o).size()));
     int surplus = (shares.get(rich).size() - shares.get(poor).size()) / 2;
     if (surplus < Constants.MACHINES_MOVED_AT_ONCE) {
       return;
     }
-    int number = Math.max(Constants.MACHINES_MOVED_AT_ONCE, (int) (surplus * Constants.SURPLUS_MOVED_AT_ONCE));
+    int number =
+        Math.max(
+            Constants.MACHINES_MOVED_AT_ONCE, (int) (surplus * Constants.SURPLUS_MOVED_AT_ONCE));
     Map<String, Integer> zones = new TreeMap<>();
     shares.get(poor).forEach(name -> zones.merge(machines.of().get(name).zone(), 1, Integer::sum));
-    shares.get(rich).sort(
-        Comparator.comparingInt((String name) -> zones.getOrDefault(machines.of().get(name).zone(), 0)));
+    shares
+        .get(rich)
+        .sort(
+            Comparator.comparingInt(
+                (String name) -> zones.getOrDefault(machines.of().get(name).zone(), 0)));
     shares.get(rich).stream().limit(number).forEach(name -> moves.put(name, poor));
     log.info("{} machines move from {} to {}", number, rich, poor);
   }
@@ -847,11 +885,14 @@
             });
     removes.removeIf(name -> !machines.of().containsKey(name));
     awaited.retainAll(removes);
-    moves.entrySet()
+    moves
+        .entrySet()
         .removeIf(
             move -> {
               MachineOwner now = machines.of().get(move.getKey());
-              return now == null || now.owner().equals(move.getValue()) || !members.containsValue(move.getValue());
+              return now == null
+                  || now.owner().equals(move.getValue())
+                  || !members.containsValue(move.getValue());
             });
     yielded.keySet().removeIf(team -> !isYielded(team));
   }
@@ -866,7 +907,8 @@
                 PREFIX,
                 (entries, epoch) -> {
                   if (entries != null && epoch < watchSince) {
-                    // Older than what the watch has told: it would bring back members that are gone.
+                    // Older than what the watch has told: it would bring back members that are
+                    // gone.
                     readBack();
                     return;
                   }
--- a/src/main/java/org/sandford/state/RecordWriter.java
+++ b/src/main/java/org/sandford/state/RecordWriter.java
@@ -33,7 +33,8 @@
   }
 
   /** One independent write. */
-  public record Write(Map<String, Long> conditions, List<Op> ops, Kind kind, Consumer<Result> done) {}
+  public record Write(
+      Map<String, Long> conditions, List<Op> ops, Kind kind, Consumer<Result> done) {}
 
   private final StateClient state;
   private final int maxOps;
@@ -126,7 +127,8 @@
     for (Iterator<Write> it = from.iterator(); it.hasNext(); ) {
       Write write = it.next();
       int size = Json.bytes(StateClient.txnBody(write.conditions, write.ops)).length;
-      if (!batch.isEmpty() && (ops + write.ops.size() > maxOps || bytes + size > Constants.TXN_BYTES)) {
+      if (!batch.isEmpty()
+          && (ops + write.ops.size() > maxOps || bytes + size > Constants.TXN_BYTES)) {
         break;
       }
       if (write.ops.stream().anyMatch(op -> keys.contains(op.key()))) {
@@ -149,7 +151,8 @@
     for (Write write : batch) {
       boolean agrees =
           write.conditions.entrySet().stream()
-              .allMatch(c -> conditions.getOrDefault(c.getKey(), c.getValue()).equals(c.getValue()));
+              .allMatch(
+                  c -> conditions.getOrDefault(c.getKey(), c.getValue()).equals(c.getValue()));
       if (!agrees) {
         later.add(write);
         continue;
--- a/src/main/java/org/sandford/state/StateClient.java
+++ b/src/main/java/org/sandford/state/StateClient.java
@@ -118,14 +118,30 @@
     }
   }
 
-  /** One request. What the store refuses for its rate alone was surely not carried out, and goes again. */
+  /**
+   * One request. What the store refuses for its rate alone was surely not carried out, and goes
+   * again.
+   */
   private void call(
-      Priority priority, double writeOps, String method, String path, byte[] body, int timeoutMs, Consumer<Reply> done) {
+      Priority priority,
+      double writeOps,
+      String method,
+      String path,
+      byte[] body,
+      int timeoutMs,
+      Consumer<Reply> done) {
     call(priority, writeOps, method, path, body, timeoutMs, done, Constants.STATE_BUSY_TRIES);
   }
 
   private void call(
-      Priority priority, double writeOps, String method, String path, byte[] body, int timeoutMs, Consumer<Reply> done, int tries) {
+      Priority priority,
+      double writeOps,
+      String method,
+      String path,
+      byte[] body,
+      int timeoutMs,
+      Consumer<Reply> done,
+      int tries) {
     enqueue(
         priority,
         writeOps,
@@ -140,7 +156,10 @@
                   if (reply.status() == 429 && tries > 1) {
                     loop.after(
                         Constants.STATE_RETRY_MS,
-                        () -> call(priority, writeOps, method, path, body, timeoutMs, done, tries - 1));
+                        () ->
+                            call(
+                                priority, writeOps, method, path, body, timeoutMs, done,
+                                tries - 1));
                   } else {
                     done.accept(reply);
                   }
@@ -199,11 +218,17 @@
   }
 
   private void listFrom(
-      String prefix, String since, List<Entry> sofar, long firstEpoch, BiConsumer<List<Entry>, Long> done) {
+      String prefix,
+      String since,
+      List<Entry> sofar,
+      long firstEpoch,
+      BiConsumer<List<Entry>, Long> done) {
     String path =
-        "/store?under=" + query(prefix)
+        "/store?under="
+            + query(prefix)
             + (since.isEmpty() ? "" : "&since=" + query(since))
-            + "&limit=" + Constants.STORE_PAGE;
+            + "&limit="
+            + Constants.STORE_PAGE;
     call(
         Priority.MAP,
         0,
@@ -232,13 +257,16 @@
         });
   }
 
-  /** Whether the store's rate of changes is far from used up, so that writes may go that can wait. */
+  /**
+   * Whether the store's rate of changes is far from used up, so that writes may go that can wait.
+   */
   public boolean hasSpare() {
     return writes.holds(writes.most() * Constants.STATE_SPARE_SHARE);
   }
 
   /** One transaction; it is carried out once at the most. */
-  public void txn(Map<String, Long> conditions, List<Op> ops, Priority priority, Consumer<Result> done) {
+  public void txn(
+      Map<String, Long> conditions, List<Op> ops, Priority priority, Consumer<Result> done) {
     byte[] body = Json.bytes(txnBody(conditions, ops));
     call(
         priority,
@@ -310,13 +338,20 @@
         reply -> done.accept(reply.status()));
   }
 
-  /** What a watch saw. {@code gap} means that changes were missed and the keys must be read again. */
+  /**
+   * What a watch saw. {@code gap} means that changes were missed and the keys must be read again.
+   */
   public record Changes(long epoch, List<Entry> entries, boolean gap, boolean answered) {}
 
   /** Waits for changes under a prefix; a removal is an entry with a null value. */
   public void follow(String prefix, long since, Consumer<Changes> done) {
     String path =
-        "/follow?under=" + query(prefix) + "&since=" + since + "&block_ms=" + Constants.WATCH_BLOCK_MS;
+        "/follow?under="
+            + query(prefix)
+            + "&since="
+            + since
+            + "&block_ms="
+            + Constants.WATCH_BLOCK_MS;
     call(
         Priority.RENEWAL,
         0,
--- a/src/test/java/org/sandford/api/JobParserTest.java
+++ b/src/test/java/org/sandford/api/JobParserTest.java
@@ -14,7 +14,8 @@
 import org.sandford.settings.Settings;
 
 class JobParserTest {
-  private static final Map<String, Settings.Team> TEAMS = Map.of("red", new Settings.Team("red", 8, 16, 0, 0));
+  private static final Map<String, Settings.Team> TEAMS =
+      Map.of("red", new Settings.Team("red", 8, 16, 0, 0));
   private static final Map<String, Flavor> FLAVORS =
       Map.of("m8", new Flavor("m8", 8, 0, 64, 1, 0.5, 10, 1, List.of("a", "b")));
 
@@ -30,7 +31,9 @@
   }
 
   private static JobParser.Refused refused(ObjectNode body) {
-    return assertThrows(JobParser.Refused.class, () -> JobParser.checkRunnable(JobParser.parse(body), TEAMS, FLAVORS));
+    return assertThrows(
+        JobParser.Refused.class,
+        () -> JobParser.checkRunnable(JobParser.parse(body), TEAMS, FLAVORS));
   }
 
   @Test
@@ -60,8 +63,25 @@
 
   @Test
   void malformedJobsGet400WithTheFieldNamed() {
-    for (String field : List.of("name_id", "job_class", "owner", "shape", "rank", "pieces", "vcpus", "accelerators",
-        "ram_gb", "build", "image_gb", "together", "scatter", "reclaimable", "expected_s", "save_every_s", "save_cost_s")) {
+    for (String field :
+        List.of(
+            "name_id",
+            "job_class",
+            "owner",
+            "shape",
+            "rank",
+            "pieces",
+            "vcpus",
+            "accelerators",
+            "ram_gb",
+            "build",
+            "image_gb",
+            "together",
+            "scatter",
+            "reclaimable",
+            "expected_s",
+            "save_every_s",
+            "save_cost_s")) {
       ObjectNode missing = good();
       missing.remove(field);
       assertEquals(400, refused(missing).status, field);
--- a/src/test/java/org/sandford/cancel/CancellationsTest.java
+++ b/src/test/java/org/sandford/cancel/CancellationsTest.java
@@ -19,6 +19,7 @@
 class CancellationsTest {
   private static final double LEASE_S = 16;
   private static final double CANCEL_S = 46;
+
   /** Any renewal later than this after what is known would let a task outlive the bound. */
   private static final double LAST_RENEWAL_S = CANCEL_S - LEASE_S;
 
@@ -62,9 +63,29 @@
     Settings.Endpoint any = new Settings.Endpoint("c0", 80);
     Settings settings =
         new Settings(
-            "c0", "a", any, any,
-            List.of(new Settings.Other("c1", "b", any), new Settings.Other("c2", "a", any)), any, any,
-            new Settings.Facts(List.of("a", "b"), Map.of(), 2, LEASE_S, CANCEL_S, 30, 8, 250, 50, 16_384, 24, 5, 5, 500, 3),
+            "c0",
+            "a",
+            any,
+            any,
+            List.of(new Settings.Other("c1", "b", any), new Settings.Other("c2", "a", any)),
+            any,
+            any,
+            new Settings.Facts(
+                List.of("a", "b"),
+                Map.of(),
+                2,
+                LEASE_S,
+                CANCEL_S,
+                30,
+                8,
+                250,
+                50,
+                16_384,
+                24,
+                5,
+                5,
+                500,
+                3),
             new Settings.Operators(1_000, true, 30));
     Cancellations.Peers peers =
         new Cancellations.Peers() {
@@ -132,7 +153,8 @@
     clock.pass(LAST_RENEWAL_S - 2);
     assertTrue(c.mayRenew(true));
     clock.pass(1.5);
-    assertFalse(c.mayRenew(true), "half a second is not enough for drift, late timers and slow kills");
+    assertFalse(
+        c.mayRenew(true), "half a second is not enough for drift, late timers and slow kills");
   }
 
   @Test
@@ -176,7 +198,8 @@
     newer.machinesRevision = mapRevision + 1;
     c.told("c1", newer);
     c.told("c2", shown("c2#1", 0, 0));
-    assertFalse(c.mayRenew(true), "another may own the machines by now, and counts on their leases to end");
+    assertFalse(
+        c.mayRenew(true), "another may own the machines by now, and counts on their leases to end");
     mapRevision++;
     c.told("c1", newer);
     assertTrue(c.mayRenew(true));
@@ -236,7 +259,10 @@
     assertEquals(List.of("wk-1", "wk-2"), c.asked(new CancellationsAsked(5L, "c0#1", 0L)).jobs);
     assertEquals(List.of("wk-2"), c.asked(new CancellationsAsked(5L, "c0#1", 1L)).jobs);
     assertEquals(List.of(), c.asked(new CancellationsAsked(5L, "c0#1", 2L)).jobs);
-    assertEquals(List.of("wk-1", "wk-2"), c.asked(new CancellationsAsked(5L, "c0#0", 2L)).jobs, "another life's count");
+    assertEquals(
+        List.of("wk-1", "wk-2"),
+        c.asked(new CancellationsAsked(5L, "c0#0", 2L)).jobs,
+        "another life's count");
     assertEquals(5, c.asked(new CancellationsAsked(5L, "", 0L)).at);
     life = "";
     assertNull(c.asked(new CancellationsAsked(5L, "", 0L)));
--- a/src/test/java/org/sandford/job/GangTest.java
+++ b/src/test/java/org/sandford/job/GangTest.java
@@ -19,7 +19,14 @@
 
   @Test
   void onlyAttemptsThatNeverRanCountAsFailures() {
-    goThrough(Phase.STARTING, Phase.DRAINING, Phase.WAITING, Phase.STARTING, Phase.GATHERING, Phase.DRAINING, Phase.WAITING);
+    goThrough(
+        Phase.STARTING,
+        Phase.DRAINING,
+        Phase.WAITING,
+        Phase.STARTING,
+        Phase.GATHERING,
+        Phase.DRAINING,
+        Phase.WAITING);
     assertEquals(2, gang.failuresInRow());
     goThrough(Phase.STARTING, Phase.RUNNING);
     assertEquals(0, gang.failuresInRow());
--- a/src/test/java/org/sandford/job/ProductionRecordsTest.java
+++ b/src/test/java/org/sandford/job/ProductionRecordsTest.java
@@ -7,7 +7,10 @@
 import org.junit.jupiter.api.Test;
 import org.sandford.core.Json;
 
-/** Job records as the version in production writes and reads them: arrays and services stay the same to the letter. */
+/**
+ * Job records as the version in production writes and reads them: arrays and services stay the same
+ * to the letter.
+ */
 class ProductionRecordsTest {
   private static final String ARRAY =
       "{\"c\":\"train\",\"t\":\"red\",\"k\":0,\"r\":1,\"n\":16,\"cpu\":8.0,\"gpu\":0.0,\"ram\":64.0,\"z\":\"a\","
@@ -19,14 +22,50 @@
 
   private static JobSpec array(JobSpec.Shape shape) {
     return new JobSpec(
-        "wk-000412", "train", "red", shape, JobSpec.Rank.URGENT, 16, 8, 0, 64, Set.of("m8"), "a", true, false, true,
-        "img-07", 6.2, 240, 30, 4, 900);
+        "wk-000412",
+        "train",
+        "red",
+        shape,
+        JobSpec.Rank.URGENT,
+        16,
+        8,
+        0,
+        64,
+        Set.of("m8"),
+        "a",
+        true,
+        false,
+        true,
+        "img-07",
+        6.2,
+        240,
+        30,
+        4,
+        900);
   }
 
   private static JobSpec service() {
     return new JobSpec(
-        "wk-000413", "serve", "red", JobSpec.Shape.SERVICE, JobSpec.Rank.PRODUCTION, 4, 2, 0, 8, Set.of(), "", false,
-        true, false, "img", 1, 0, 0, 0, 0);
+        "wk-000413",
+        "serve",
+        "red",
+        JobSpec.Shape.SERVICE,
+        JobSpec.Rank.PRODUCTION,
+        4,
+        2,
+        0,
+        8,
+        Set.of(),
+        "",
+        false,
+        true,
+        false,
+        "img",
+        1,
+        0,
+        0,
+        0,
+        0);
   }
 
   @Test
