--- a/src/main/java/org/sandford/core/HttpCalls.java
+++ b/src/main/java/org/sandford/core/HttpCalls.java
@@ -8,6 +8,7 @@
    * What came back. A status of {@link #UNKNOWN} means that the request may have been, or may yet
    * be, carried out; {@link #NOT_SENT} that it never left.
    */
+  @SuppressWarnings("ArrayRecordComponent") // Replies are read once and never compared.
   record Reply(int status, byte[] body) {
     public static final int UNKNOWN = 0;
     public static final int NOT_SENT = -1;
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -286,7 +286,7 @@
     }
     return new Need(
         spec.id(),
-        spec.rank().ordinal(),
+        spec.rank().number(),
         acceptedAt,
         spec.cpus(),
         spec.gpus(),
--- a/src/main/java/org/sandford/job/JobSpec.java
+++ b/src/main/java/org/sandford/job/JobSpec.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Arrays;
 import java.util.Set;
 import java.util.TreeSet;
 import org.sandford.Constants;
@@ -30,17 +31,28 @@
     double saveCostS,
     double dueS) {
 
-  /** How the tasks of a job belong together. Records name the shape by its place here. */
+  /** How the tasks of a job belong together. */
   public enum Shape {
     /** Independent tasks, each of which runs to completion. */
-    ARRAY,
+    ARRAY(0),
     /** Replicas that run until the job is cancelled. */
-    SERVICE,
+    SERVICE(1),
     /**
      * Tasks that all run at the same time, or none does. Known from {@link
      * Constants#RECORD_VERSION_GANGS} on.
      */
-    GANG
+    GANG(2);
+
+    private final int number;
+
+    Shape(int number) {
+      this.number = number;
+    }
+
+    /** The shape that records name by this number. */
+    static Shape of(int number) {
+      return Arrays.stream(values()).filter(s -> s.number == number).findFirst().orElseThrow();
+    }
   }
 
   /** Whether it is a service, whose replicas run until it is cancelled. */
@@ -53,12 +65,28 @@
     return shape == Shape.GANG;
   }
 
-  /** Priorities; the earlier go first. */
+  /** Priorities; those with the lower number go first. */
   public enum Rank {
-    PRODUCTION,
-    URGENT,
-    NORMAL,
-    BEST_EFFORT
+    PRODUCTION(0),
+    URGENT(1),
+    NORMAL(2),
+    BEST_EFFORT(3);
+
+    private final int number;
+
+    Rank(int number) {
+      this.number = number;
+    }
+
+    /** The number by which records and peers name the rank. */
+    public int number() {
+      return number;
+    }
+
+    /** The rank that records name by this number. */
+    static Rank of(int number) {
+      return Arrays.stream(values()).filter(r -> r.number == number).findFirst().orElseThrow();
+    }
   }
 
   /** The compact form kept in the job's record and forwarded between controllers. */
@@ -67,8 +95,8 @@
         Json.object()
             .put("c", jobClass)
             .put("t", team)
-            .put("k", shape.ordinal())
-            .put("r", rank.ordinal())
+            .put("k", shape.number)
+            .put("r", rank.number)
             .put("n", tasks)
             .put("cpu", cpus)
             .put("gpu", gpus)
@@ -96,8 +124,8 @@
         id,
         n.path("c").asText(),
         n.path("t").asText(),
-        Shape.values()[n.path("k").asInt()],
-        Rank.values()[n.path("r").asInt()],
+        Shape.of(n.path("k").asInt()),
+        Rank.of(n.path("r").asInt()),
         n.path("n").asInt(),
         n.path("cpu").asDouble(),
         n.path("gpu").asDouble(),
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -375,6 +375,8 @@
   }
 
   /** Views that the roster has taken in already. */
+  @SuppressWarnings(
+      "ReferenceEquality") // Whether the roster holds this very view; contents may be large.
   public void views(String from, Views views) {
     for (MachineView view : views.machines) {
       Roster.Seen seen = roster.get(view.machine);
@@ -1504,7 +1506,7 @@
             team.name,
             machine,
             s.id(),
-            s.rank().ordinal(),
+            s.rank().number(),
             job.acceptedAt,
             tasks * s.cpus(),
             tasks * s.gpus(),
@@ -1613,11 +1615,11 @@
       Map<String, Double> borrowed = new HashMap<>(beyond);
       List<Preemption.Victim> out = new ArrayList<>();
       for (Preemption.Victim v : running) {
-        boolean lower = v.rank() > job.spec.rank().ordinal();
+        boolean lower = v.rank() > job.spec.rank().number();
         boolean lent =
             guaranteed
                 && !v.team().equals(team.name)
-                && v.rank() > JobSpec.Rank.PRODUCTION.ordinal()
+                && v.rank() > JobSpec.Rank.PRODUCTION.number()
                 && borrowed.getOrDefault(v.team(), 0.0) >= v.cpus();
         if ((lower || lent)
             && !preempted.containsKey(new Attempt(v.job(), v.task(), v.attempt()))) {
@@ -1694,7 +1696,7 @@
                     s.id(),
                     task,
                     p.attempt,
-                    s.rank().ordinal(),
+                    s.rank().number(),
                     job.acceptedAt,
                     s.cpus(),
                     s.gpus(),
@@ -1750,7 +1752,7 @@
       }
       DemandClass told =
           new DemandClass(
-              s.rank().ordinal(),
+              s.rank().number(),
               s.cpus(),
               s.gpus(),
               s.ram(),
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -525,7 +525,7 @@
   private static void describe(Machine machine, Entry entry, JobSpec spec) {
     entry.known = true;
     entry.team = spec.team();
-    entry.rank = spec.rank().ordinal();
+    entry.rank = spec.rank().number();
     entry.cpus = spec.cpus();
     entry.gpus = spec.gpus();
     entry.ram = spec.ram();
--- a/src/main/java/org/sandford/net/NettyHttpClient.java
+++ b/src/main/java/org/sandford/net/NettyHttpClient.java
@@ -112,7 +112,7 @@
       // Its end, once it is closed, lets the next one have its turn.
       Connection oldest = parked.iterator().next();
       parked.remove(oldest);
-      oldest.channel.close();
+      Channels.close(oldest.channel);
     }
   }
 
@@ -153,7 +153,7 @@
                         });
               }
               if (!future.isSuccess()) {
-                future.channel().close();
+                Channels.close(future.channel());
                 request.release();
                 call.finish(NOT_SENT);
               } else if (call.finished) {
@@ -189,7 +189,7 @@
         Connection late = connection;
         finish(UNKNOWN);
         late.call = null;
-        late.channel.close();
+        Channels.close(late.channel);
       }
     }
 
@@ -221,7 +221,7 @@
     void start(Call next, FullHttpRequest request) {
       call = next;
       next.connection = this;
-      channel.writeAndFlush(request);
+      Channels.send(channel, request);
     }
 
     void park() {
@@ -240,7 +240,7 @@
       if (HttpUtil.isKeepAlive(response) && finished != null) {
         park();
       } else {
-        ctx.close();
+        Channels.close(ctx.channel());
       }
       if (finished != null) {
         finished.finish(reply);
@@ -266,7 +266,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      ctx.close();
+      Channels.close(ctx.channel());
     }
   }
 }
--- a/src/main/java/org/sandford/net/NettyHttpServer.java
+++ b/src/main/java/org/sandford/net/NettyHttpServer.java
@@ -78,7 +78,7 @@
                   @Override
                   protected void initChannel(Channel channel) {
                     if (all.size() >= most + Constants.SOCKETS_OVERDRAWN) {
-                      channel.close();
+                      Channels.close(channel);
                       return;
                     }
                     channel
@@ -130,7 +130,7 @@
     if (!from.isEmpty()) {
       Connection oldest = from.iterator().next();
       from.remove(oldest);
-      oldest.channel.close();
+      Channels.close(oldest.channel);
     }
   }
 
@@ -212,7 +212,7 @@
       } else {
         log.error("a request could not be taken", cause);
       }
-      ctx.close();
+      Channels.close(ctx.channel());
     }
   }
 }
--- a/src/main/java/org/sandford/net/NettyLoop.java
+++ b/src/main/java/org/sandford/net/NettyLoop.java
@@ -50,6 +50,7 @@
     loop.execute(guarded(what));
   }
 
+  @SuppressWarnings("FutureReturnValueIgnored") // The process ends; nobody waits for its threads.
   public void shutdown() {
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
--- a/src/main/java/org/sandford/net/NettyPeers.java
+++ b/src/main/java/org/sandford/net/NettyPeers.java
@@ -118,7 +118,7 @@
       } else {
         log.error("a peer's frame could not be taken", cause);
       }
-      ctx.close();
+      Channels.close(ctx.channel());
     }
 
     @Override
@@ -127,15 +127,15 @@
           && channel.unsafe().outboundBuffer().totalPendingWriteBytes()
               > Constants.PEER_BACKLOG_BYTES) {
         log.info("a peer does not read; its link is closed");
-        channel.close();
+        Channels.close(channel);
         return;
       }
-      channel.writeAndFlush(Unpooled.wrappedBuffer(frame));
+      Channels.send(channel, Unpooled.wrappedBuffer(frame));
     }
 
     @Override
     public void close() {
-      channel.close();
+      Channels.close(channel);
     }
   }
 }
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -757,7 +757,7 @@
     Teams nextTeams = planTeams();
     Set<String> live = liveIds();
     boolean orphaned = machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()));
-    boolean hurried = nextTeams != teams || !awaited.isEmpty() || orphaned;
+    boolean hurried = !nextTeams.equals(teams) || !awaited.isEmpty() || orphaned;
     // The users' records go first: what nobody waits for is written when the store has rate to
     // spare.
     long late = loop.millis() - mapAgainAt;
@@ -775,7 +775,7 @@
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(LEADER, leaderRevision);
     List<Op> ops = new ArrayList<>();
-    if (nextTeams != teams) {
+    if (!nextTeams.equals(teams)) {
       conditions.put(TEAMS, teams.revision());
       ops.add(Op.put(TEAMS, nextTeams.json()));
     }
@@ -802,7 +802,7 @@
         result -> {
           writing = false;
           if (result.outcome() == Outcome.DONE) {
-            if (nextTeams != teams) {
+            if (!nextTeams.equals(teams)) {
               takeTeams(new Teams(result.revision(), nextTeams.last(), nextTeams.of()));
             }
             if (!changed.isEmpty()) {
--- a/src/test/java/org/sandford/net/NettyHttpServerTest.java
+++ b/src/test/java/org/sandford/net/NettyHttpServerTest.java
@@ -7,6 +7,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -32,7 +33,7 @@
     private final BufferedReader in;
 
     Client(int port) throws IOException {
-      socket = new Socket("127.0.0.1", port);
+      socket = new Socket(InetAddress.getLoopbackAddress(), port);
       socket.setSoTimeout(PATIENCE_MS);
       in =
           new BufferedReader(
--- a/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
@@ -18,7 +18,7 @@
 
   @TestFactory
   Stream<DynamicTest> meetings() {
-    String[] ends = SEEDS.split("-");
+    String[] ends = SEEDS.split("-", -1);
     return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]))
         .mapToObj(seed -> DynamicTest.dynamicTest("seed " + seed, () -> play(seed)));
   }
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -142,7 +142,7 @@
   static List<double[]> workers(List<String> lines) {
     List<double[]> out = new ArrayList<>();
     for (String line : lines) {
-      String[] words = line.trim().split("\\s+");
+      String[] words = line.trim().split("\\s+", -1);
       if (words[0].equals("workers")) {
         out.add(
             new double[] {
@@ -169,7 +169,7 @@
       if (line.isEmpty()) {
         continue;
       }
-      List<String> words = List.of(line.split("\\s+"));
+      List<String> words = List.of(line.split("\\s+", -1));
       switch (words.get(0)) {
         case "seed" -> seed = Long.parseLong(words.get(1));
         case "controllers" -> controllers = Integer.parseInt(words.get(1));
@@ -374,7 +374,10 @@
       case "deliver_report" -> worker(w.get(1)).deliverKept(controller(w.get(2)));
       case "late_reports" -> world.lateReports = w.get(1).equals("on");
       case "heal" -> world.heal(host(w.get(1)), host(w.get(2)));
-      case "refuse" -> store.refused.add(refusedNow = controller(w.get(1)));
+      case "refuse" -> {
+        refusedNow = controller(w.get(1));
+        store.refused.add(refusedNow);
+      }
       case "busy" -> store.busy.add(w.get(1));
       case "idle" -> store.busy.remove(w.get(1));
       case "admit" -> store.refused.remove(w.get(1).equals("refused") ? refusedNow : w.get(1));
@@ -637,7 +640,7 @@
     job.tasks = Integer.parseInt(o.getOrDefault("tasks", "1"));
     job.cpus = Double.parseDouble(o.getOrDefault("cpus", "1"));
     job.ram = Double.parseDouble(o.getOrDefault("ram", "1"));
-    for (String run : o.getOrDefault("run", "5").split("/")) {
+    for (String run : o.getOrDefault("run", "5").split("/", -1)) {
       job.runs.add(Double.parseDouble(run));
     }
     job.runS = job.runs.get(job.runs.size() - 1);
--- a/src/test/java/org/sandford/scenario/StoreStandIn.java
+++ b/src/test/java/org/sandford/scenario/StoreStandIn.java
@@ -26,6 +26,7 @@
     long until;
   }
 
+  @SuppressWarnings("ArrayRecordComponent") // The flag is shared by all who hold the watcher.
   private record Watcher(
       String from, String prefix, long since, Consumer<Response> respond, boolean[] over) {}
 
@@ -168,7 +169,7 @@
       holds.put(++lastHold, hold);
       respond.accept(new Response(200, Json.object().put("permit", lastHold)));
     } else if (path.startsWith("/holds/")) {
-      Hold hold = holds.get(Long.parseLong(path.split("/")[2]));
+      Hold hold = holds.get(Long.parseLong(path.split("/", -1)[2]));
       if (hold == null) {
         respond.accept(new Response(404, Json.object()));
       } else {
@@ -194,7 +195,7 @@
 
   private static Map<String, String> query(String path) {
     Map<String, String> out = new HashMap<>();
-    for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+    for (String part : path.substring(path.indexOf('?') + 1).split("&", -1)) {
       String[] kv = part.split("=", 2);
       out.put(kv[0], URLDecoder.decode(kv[1], StandardCharsets.UTF_8));
     }
--- a/src/test/java/org/sandford/scenario/WorkerStandIn.java
+++ b/src/test/java/org/sandford/scenario/WorkerStandIn.java
@@ -234,7 +234,7 @@
         };
     world.after(4_000, () -> answered.accept(new Response(0, Json.object())));
     if (world.lateReports && world.random.nextInt(4) == 0) {
-      long late = 1_000 + world.random.nextInt((int) (3_000 * scenario.leaseS));
+      long late = 1_000L + world.random.nextInt((int) (3_000 * scenario.leaseS));
       String whereTo = "c" + world.random.nextInt(scenario.controllers);
       world.after(
           late,
--- a/src/test/java/org/sandford/scenario/World.java
+++ b/src/test/java/org/sandford/scenario/World.java
@@ -136,7 +136,7 @@
     for (Iterator<Map.Entry<String, ArrayDeque<Runnable>>> it = held.entrySet().iterator();
         it.hasNext(); ) {
       Map.Entry<String, ArrayDeque<Runnable>> e = it.next();
-      String[] ends = e.getKey().split(">");
+      String[] ends = e.getKey().split(">", -1);
       if (cutBetween(ends[0], ends[1]) == null) {
         e.getValue().forEach(message -> after(1, message));
         it.remove();
