--- /dev/null
+++ b/src/main/java/org/sandford/job/DemandReport.java
@@ -0,0 +1,107 @@
+package org.sandford.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sandford.Constants;
+import org.sandford.peer.wire.DemandClass;
+
+/**
+ * Tells the leader, who rents machines for all, what waits within the teams' limits. Tasks of which
+ * it does not matter to what job they belong are told as one class, so that the report does not
+ * grow with the number of jobs.
+ */
+final class DemandReport {
+  /** What a team's limit still allows. */
+  private static final class Allowance {
+    private double cpus;
+    private double gpus;
+
+    Allowance(Team team) {
+      cpus = team.limits.cpusMax() - team.cpusUsed();
+      gpus = team.limits.gpusMax() - team.gpusUsed();
+    }
+
+    /** How many of the job's waiting tasks are allowed: of a gang all or none. */
+    int tasksOf(Job job) {
+      int allowed = Math.min(fitting(cpus, job.spec.cpus()), fitting(gpus, job.spec.gpus()));
+      int tasks = Math.max(0, Math.min(allowed, job.waitingCount));
+      return job.spec.gang() && tasks < job.waitingCount ? 0 : tasks;
+    }
+
+    private static int fitting(double left, double each) {
+      return each <= 0 ? Integer.MAX_VALUE : (int) Math.floor((left + Constants.EPSILON) / each);
+    }
+
+    void take(Job job, int tasks) {
+      cpus -= tasks * job.spec.cpus();
+      gpus -= tasks * job.spec.gpus();
+    }
+  }
+
+  private record AlikeClass(LikeTasks like, JobSpec.Rank rank) {}
+
+  private final Map<String, Team> teams;
+  private final long now;
+  private final Map<String, Allowance> allowances = new HashMap<>();
+  private final Map<AlikeClass, DemandClass> alike = new HashMap<>();
+  private final List<DemandClass> classes = new ArrayList<>();
+
+  /** A report at this moment of the steady clock, for teams whose places were just counted. */
+  DemandReport(Map<String, Team> teams, long now) {
+    this.teams = teams;
+    this.now = now;
+  }
+
+  /** The classes of the jobs that wait, which come in the order in which they are planned. */
+  List<DemandClass> of(List<Job> queue) {
+    queue.forEach(this::add);
+    return classes;
+  }
+
+  private void add(Job job) {
+    Allowance allowance =
+        allowances.computeIfAbsent(job.spec.team(), name -> new Allowance(teams.get(name)));
+    int tasks = allowance.tasksOf(job);
+    if (tasks == 0) {
+      return;
+    }
+    allowance.take(job, tasks);
+    double waitedS = (now - job.waitingSince) / 1e9;
+    JobSpec spec = job.spec;
+    if (spec.scatter() || spec.together() || spec.gang()) {
+      classes.add(classOf(job, tasks, waitedS));
+      return;
+    }
+    AlikeClass key = new AlikeClass(job.like, spec.rank());
+    DemandClass known = alike.get(key);
+    if (known == null) {
+      DemandClass first = classOf(job, tasks, waitedS);
+      alike.put(key, first);
+      classes.add(first);
+    } else {
+      known.tasks += tasks;
+      known.waitedS = Math.max(known.waitedS, waitedS);
+    }
+  }
+
+  private static DemandClass classOf(Job job, int tasks, double waitedS) {
+    JobSpec spec = job.spec;
+    return new DemandClass(
+        spec.rank().number(),
+        spec.cpus(),
+        spec.gpus(),
+        spec.ram(),
+        tasks,
+        spec.reclaimable(),
+        spec.scatter(),
+        spec.together(),
+        spec.service(),
+        new ArrayList<>(spec.kinds()),
+        spec.zone(),
+        waitedS,
+        spec.tasks(),
+        job.need().zonesHeld());
+  }
+}
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -29,17 +29,14 @@
 import org.sandford.peer.wire.ExitCause;
 import org.sandford.peer.wire.MachineState;
 import org.sandford.peer.wire.MachineView;
-import org.sandford.peer.wire.Preempt;
 import org.sandford.peer.wire.StartAnswer;
 import org.sandford.peer.wire.StartTask;
 import org.sandford.peer.wire.StopTask;
 import org.sandford.peer.wire.TaskState;
 import org.sandford.peer.wire.TaskView;
-import org.sandford.peer.wire.Victim;
 import org.sandford.peer.wire.Views;
 import org.sandford.placement.Need;
 import org.sandford.placement.Planner;
-import org.sandford.placement.Preemption;
 import org.sandford.placement.Room;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.MachineOwner;
@@ -74,8 +71,8 @@
   private final Map<String, Job> jobs = new HashMap<>();
   private final RoomBook rooms;
   private final Gangs gangs;
+  private final Preemptor preemptor;
   private final Map<String, Integer> linkRounds = new HashMap<>();
-  private final Map<Attempt, Long> preempted = new HashMap<>();
 
   /** The machines of the map as they were looked at last. */
   private Map<String, MachineOwner> machines = Map.of();
@@ -85,8 +82,6 @@
 
   private long hopelessSince = -1;
   private long hopelessAt;
-  private long stopAgainAt;
-  private long gatherAgainAt;
   private boolean planning;
   private long moveAgainAt;
   private long plannedAt;
@@ -112,6 +107,7 @@
     this.store = store;
     this.finals = finals;
     this.lookup = lookup;
+    this.preemptor = new Preemptor(loop, settings, roster, links, planner);
     this.gangs = new Gangs(loop, settings.facts(), this::stop);
     this.rooms = new RoomBook(roster, share, links, settings.label(), flavors);
   }
@@ -1343,10 +1339,7 @@
       hopelessAt = plannedAt;
       hopeless.clear();
     }
-    Stoppable stoppable = null;
-    if (plannedAt >= stopAgainAt) {
-      stoppable = new Stoppable();
-    }
+    preemptor.beginRound();
     for (Job job : queue) {
       Team team = teams.get(job.spec.team());
       int allowed = team.allowed(job.spec.cpus(), job.spec.gpus());
@@ -1368,13 +1361,10 @@
       Planner.Plan plan = find(job, count, whole, free);
       if (plan == null) {
         job.waitsBecause(noRoom(job, whole ? count : 1));
-        if (stoppable != null) {
-          preempt(team, job, count, free, whole, stoppable);
-        }
-        double gatherAfterS = gang ? Constants.GANG_GATHER_AFTER_S : Constants.GATHER_AFTER_S;
-        if (whole && count > 1 && waitedS > gatherAfterS && plannedAt >= gatherAgainAt) {
-          gatherAgainAt = plannedAt + Constants.GATHER_MS;
-          gather(team, job, count, free);
+        preemptor.preempt(team, job, count, free, whole);
+        double reserveAfterS = gang ? Constants.GANG_GATHER_AFTER_S : Constants.GATHER_AFTER_S;
+        if (whole && count > 1 && waitedS > reserveAfterS) {
+          preemptor.reserveFreeRoom(team, job, count, free);
         }
       } else {
         carryOut(team, job, plan);
@@ -1453,211 +1443,6 @@
     }
   }
 
-  /**
-   * Makes room where the users allow it; what is freed shows in later views and is planned then.
-   */
-  private void preempt(
-      Team team, Job job, int count, List<Room> free, boolean whole, Stoppable stoppable) {
-    if (job.preemptAgainAt > loop.millis() || stoppable.searches >= Constants.PREEMPT_SEARCHES) {
-      return;
-    }
-    List<Preemption.Victim> victims = stoppable.victims(team, job);
-    if (victims.isEmpty()) {
-      return;
-    }
-    stoppable.searches++;
-    job.preemptAgainAt = loop.millis() + Constants.PREEMPT_PAUSE_MS;
-    List<Preemption.Eviction> evictions =
-        Preemption.choose(job.need(), count, free, victims, whole);
-    if (evictions == null) {
-      return;
-    }
-    JobSpec s = job.spec;
-    Map<String, List<Victim>> stops = stoppable.stops(evictions);
-    for (Preemption.Eviction eviction : evictions) {
-      Room room = eviction.room();
-      List<Victim> stop = stops.getOrDefault(room.machine, List.of());
-      stops.remove(room.machine);
-      int n = eviction.tasks();
-      room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
-      askForRoom(team, job, room.owner, room.machine, n, stop);
-    }
-    // What is left are tasks of gangs that lose one elsewhere: all of a gang have to hear of its
-    // stop to save.
-    stops.forEach(
-        (machine, stop) -> {
-          Roster.Seen seen = roster.get(machine);
-          if (seen != null) {
-            askForRoom(team, job, seen.owner(), machine, 0, stop);
-          }
-        });
-  }
-
-  /**
-   * Asks the machine's owner to keep room for so many tasks of the job, after stopping others where
-   * need be.
-   */
-  private void askForRoom(
-      Team team, Job job, String owner, String machine, int tasks, List<Victim> stop) {
-    JobSpec s = job.spec;
-    links.ask(
-        owner,
-        new Preempt(
-            team.name,
-            machine,
-            s.id(),
-            s.rank().number(),
-            job.acceptedAt,
-            tasks * s.cpus(),
-            tasks * s.gpus(),
-            tasks * s.ram(),
-            stop,
-            Constants.PREEMPT_GRACE_S));
-  }
-
-  /**
-   * Has the room that is free kept for a job that waited long for enough of it at once: small jobs
-   * take each place as it falls free, and a large one would never begin. One job at a time, the
-   * first of the queue, which is at last the same for all controllers.
-   */
-  private void gather(Team team, Job job, int count, List<Room> free) {
-    Planner.Plan plan = planner.place(job.need(), count, free, false);
-    if (plan != null) {
-      for (Planner.Slot slot : plan.slots()) {
-        askForRoom(team, job, slot.room().owner, slot.room().machine, slot.tasks(), List.of());
-      }
-    }
-  }
-
-  /**
-   * What may be stopped for a job: tasks of lower rank, and, where the job lies within its team's
-   * guarantee, what other teams run beyond theirs. Services are left alone in the second case. The
-   * fleet is looked through once a round, and only if a job asks.
-   */
-  private final class Stoppable {
-    private List<Preemption.Victim> running;
-    private final Map<String, Double> beyond = new HashMap<>();
-    private final Map<JobAttempt, List<Preemption.Victim>> byAttempt = new HashMap<>();
-    private int searches;
-
-    private void look() {
-      running = new ArrayList<>();
-      stopAgainAt = plannedAt + Constants.PREEMPT_LOOK_MS;
-      preempted.values().removeIf(at -> loop.millis() - at > Constants.KEEP_ROOM_MS);
-      for (Roster.Seen seen : roster.all()) {
-        if (!roster.current(seen) || seen.view().state != MachineState.UP) {
-          continue;
-        }
-        // Views come only when something changes, so tasks have aged since.
-        double sinceS = (loop.nanos() - seen.at()) / 1e9;
-        for (TaskView t : seen.view().tasks) {
-          if (t.known && t.state != TaskState.EXITED) {
-            running.add(
-                new Preemption.Victim(
-                    seen.view().machine,
-                    t.team,
-                    t.job,
-                    t.task,
-                    t.attempt,
-                    t.rank,
-                    t.cpus,
-                    t.gpus,
-                    t.ram,
-                    t.cpus * (t.ageS + sinceS)));
-            beyond.merge(t.team, t.cpus, Double::sum);
-          }
-        }
-      }
-      running.forEach(
-          v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
-      running.replaceAll(
-          v -> v.losing(gangOf(v).stream().mapToDouble(Preemption.Victim::lossCpuS).sum()));
-      settings
-          .facts()
-          .teams()
-          .forEach(
-              (name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
-    }
-
-    /**
-     * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the
-     * gangs of other controllers show in the views as well.
-     */
-    private List<Preemption.Victim> gangOf(Preemption.Victim victim) {
-      return byAttempt.get(JobAttempt.of(victim));
-    }
-
-    /** What has to be stopped on each machine for these evictions: a gang always as a whole. */
-    Map<String, List<Victim>> stops(List<Preemption.Eviction> evictions) {
-      Map<String, List<Victim>> byMachine = new TreeMap<>();
-      Set<JobAttempt> seen = new HashSet<>();
-      for (Preemption.Eviction eviction : evictions) {
-        for (Preemption.Victim victim : eviction.victims()) {
-          if (!seen.add(JobAttempt.of(victim))) {
-            continue;
-          }
-          for (Preemption.Victim v : gangOf(victim)) {
-            byMachine
-                .computeIfAbsent(v.machine(), m -> new ArrayList<>())
-                .add(new Victim(v.job(), v.task(), v.attempt()));
-            preempted.put(new Attempt(v.job(), v.task(), v.attempt()), loop.millis());
-          }
-        }
-      }
-      return byMachine;
-    }
-
-    List<Preemption.Victim> victims(Team team, Job job) {
-      if (running == null) {
-        look();
-      }
-      boolean guaranteed = withinGuarantee(team, job);
-      Map<String, Double> borrowed = new HashMap<>(beyond);
-      List<Preemption.Victim> out = new ArrayList<>();
-      for (Preemption.Victim v : running) {
-        boolean lower = v.rank() > job.spec.rank().number();
-        boolean lent =
-            guaranteed
-                && !v.team().equals(team.name)
-                && v.rank() > JobSpec.Rank.PRODUCTION.number()
-                && borrowed.getOrDefault(v.team(), 0.0) >= v.cpus();
-        if ((lower || lent)
-            && !preempted.containsKey(new Attempt(v.job(), v.task(), v.attempt()))) {
-          if (!lower) {
-            borrowed.merge(v.team(), -v.cpus(), Double::sum);
-          }
-          out.add(v);
-        }
-      }
-      return out;
-    }
-  }
-
-  /** Whether the job fits its team's guarantee together with the team's earlier unfinished jobs. */
-  private static boolean withinGuarantee(Team team, Job job) {
-    double cpus = 0;
-    double gpus = 0;
-    for (Job other : team.jobs.values()) {
-      boolean earlier = other == job || other.acceptedAt < job.acceptedAt;
-      if (earlier && !other.phase().over()) {
-        int unfinished = other.spec.tasks() - other.doneCount;
-        cpus += unfinished * other.spec.cpus();
-        gpus += unfinished * other.spec.gpus();
-      }
-    }
-    return cpus <= team.limits.cpus() + Constants.EPSILON
-        && gpus <= team.limits.gpus() + Constants.EPSILON;
-  }
-
-  /**
-   * One attempt of a job; what distinguishes gangs from other jobs is that several tasks share one.
-   */
-  private record JobAttempt(String job, long attempt) {
-    static JobAttempt of(Preemption.Victim victim) {
-      return new JobAttempt(victim.job(), victim.attempt());
-    }
-  }
-
   private void carryOut(Team team, Job job, Planner.Plan plan) {
     long now = loop.nanos();
     List<Integer> tasks = TaskRanges.first(job.waiting, plan.tasks());
@@ -1715,62 +1500,7 @@
 
   /** What waits, by classes of like tasks, within the teams' limits. */
   public List<DemandClass> demand() {
-    List<DemandClass> out = new ArrayList<>();
-    Map<String, double[]> left = new HashMap<>();
-    Map<List<Object>, DemandClass> arrays = new HashMap<>();
     teams.values().forEach(Team::countHeld);
-    for (Job job : queue()) {
-      Team team = teams.get(job.spec.team());
-      JobSpec s = job.spec;
-      double[] room =
-          left.computeIfAbsent(
-              team.name,
-              n ->
-                  new double[] {
-                    team.limits.cpusMax() - team.cpusUsed(), team.limits.gpusMax() - team.gpusUsed()
-                  });
-      int n = job.waitingCount;
-      if (s.cpus() > 0) {
-        n = (int) Math.min(n, Math.floor((room[0] + Constants.EPSILON) / s.cpus()));
-      }
-      if (s.gpus() > 0) {
-        n = (int) Math.min(n, Math.floor((room[1] + Constants.EPSILON) / s.gpus()));
-      }
-      if (n <= 0 || (s.gang() && n < job.waitingCount)) {
-        continue;
-      }
-      room[0] -= n * s.cpus();
-      room[1] -= n * s.gpus();
-      double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
-      // Where it does not matter which job a task belongs to, jobs are told as one class.
-      boolean alike = !s.scatter() && !s.together() && !s.gang();
-      DemandClass known = alike ? arrays.get(List.of(job.like, s.rank())) : null;
-      if (known != null) {
-        known.tasks += n;
-        known.waitedS = Math.max(known.waitedS, waitedS);
-        continue;
-      }
-      DemandClass told =
-          new DemandClass(
-              s.rank().number(),
-              s.cpus(),
-              s.gpus(),
-              s.ram(),
-              n,
-              s.reclaimable(),
-              s.scatter(),
-              s.together(),
-              s.service(),
-              new ArrayList<>(s.kinds()),
-              s.zone(),
-              waitedS,
-              s.tasks(),
-              job.need().zonesHeld());
-      out.add(told);
-      if (alike) {
-        arrays.put(List.of(job.like, s.rank()), told);
-      }
-    }
-    return out;
+    return new DemandReport(teams, loop.nanos()).of(queue());
   }
 }
--- /dev/null
+++ b/src/main/java/org/sandford/job/Preemptor.java
@@ -0,0 +1,158 @@
+package org.sandford.job;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.sandford.Constants;
+import org.sandford.core.Loop;
+import org.sandford.machine.Roster;
+import org.sandford.peer.PeerLinks;
+import org.sandford.peer.wire.Preempt;
+import org.sandford.peer.wire.Victim;
+import org.sandford.placement.Planner;
+import org.sandford.placement.Preemption;
+import org.sandford.placement.Room;
+import org.sandford.settings.Settings;
+
+/**
+ * Makes room for jobs that found none: it asks the machines' owners to stop others' tasks, where
+ * the users allow it, and to keep free resources for a job until it has enough. What is freed shows
+ * in later views and is planned then.
+ */
+final class Preemptor {
+  private final Loop loop;
+  private final Settings settings;
+  private final Roster roster;
+  private final PeerLinks links;
+  private final Planner planner;
+
+  /** Attempts that were asked to be stopped lately, and when. */
+  private final Map<Attempt, Long> stopping = new HashMap<>();
+
+  private StoppableTasks tasks;
+  private boolean mayPreempt;
+  private int searches;
+  private long roundAt;
+  private long lookAgainAt;
+  private long reserveAgainAt;
+
+  Preemptor(Loop loop, Settings settings, Roster roster, PeerLinks links, Planner planner) {
+    this.loop = loop;
+    this.settings = settings;
+    this.roster = roster;
+    this.links = links;
+    this.planner = planner;
+  }
+
+  /**
+   * Begins a planning round: the fleet is looked through once in it at the most, and only if a job
+   * asks.
+   */
+  void beginRound() {
+    roundAt = loop.millis();
+    mayPreempt = roundAt >= lookAgainAt;
+    searches = 0;
+    tasks = null;
+  }
+
+  /**
+   * Stops others' tasks for the job if that completes its plan, or, unless it must start whole, a
+   * part of it.
+   */
+  void preempt(Team team, Job job, int count, List<Room> free, boolean whole) {
+    boolean pauses = job.preemptAgainAt > loop.millis();
+    if (!mayPreempt || pauses || searches >= Constants.PREEMPT_SEARCHES) {
+      return;
+    }
+    List<Preemption.Victim> victims = tasks().victims(team, job, stopping::containsKey);
+    if (victims.isEmpty()) {
+      return;
+    }
+    searches++;
+    job.preemptAgainAt = loop.millis() + Constants.PREEMPT_PAUSE_MS;
+    List<Preemption.Eviction> evictions =
+        Preemption.choose(job.need(), count, free, victims, whole);
+    if (evictions != null) {
+      evict(team, job, evictions);
+    }
+  }
+
+  private StoppableTasks tasks() {
+    if (tasks == null) {
+      lookAgainAt = roundAt + Constants.PREEMPT_LOOK_MS;
+      stopping.values().removeIf(at -> loop.millis() - at > Constants.KEEP_ROOM_MS);
+      tasks = new StoppableTasks(roster, settings.facts(), loop.nanos());
+    }
+    return tasks;
+  }
+
+  private void evict(Team team, Job job, List<Preemption.Eviction> evictions) {
+    Map<String, List<Preemption.Victim>> stops = tasks.stopsFor(evictions);
+    for (Preemption.Eviction eviction : evictions) {
+      Room room = eviction.room();
+      take(room, job, eviction.tasks());
+      List<Preemption.Victim> there = stops.remove(room.machine);
+      ask(team, job, room.owner, room.machine, eviction.tasks(), there == null ? List.of() : there);
+    }
+    // What is left are tasks of gangs that lose one elsewhere: all of a gang must hear of its stop
+    // to save.
+    stops.forEach(
+        (machine, there) -> {
+          Roster.Seen seen = roster.get(machine);
+          if (seen != null) {
+            ask(team, job, seen.owner(), machine, 0, there);
+          }
+        });
+  }
+
+  private static void take(Room room, Job job, int count) {
+    JobSpec spec = job.spec;
+    room.take(count * spec.cpus(), count * spec.gpus(), count * spec.ram());
+  }
+
+  /**
+   * Has the free resources that there are kept for a job that waited long for enough of them at
+   * once: small jobs take each place as it falls free, and a large one would never begin. One job
+   * at a time, the first of the queue, whose order is the same for all controllers.
+   */
+  void reserveFreeRoom(Team team, Job job, int count, List<Room> free) {
+    if (roundAt < reserveAgainAt) {
+      return;
+    }
+    reserveAgainAt = roundAt + Constants.GATHER_MS;
+    Planner.Plan plan = planner.place(job.need(), count, free, false);
+    if (plan != null) {
+      for (Planner.Slot slot : plan.slots()) {
+        ask(team, job, slot.room().owner, slot.room().machine, slot.tasks(), List.of());
+      }
+    }
+  }
+
+  /**
+   * Asks the machine's owner to keep room for so many tasks of the job, after stopping these
+   * others.
+   */
+  private void ask(
+      Team team,
+      Job job,
+      String owner,
+      String machine,
+      int count,
+      List<Preemption.Victim> victims) {
+    JobSpec spec = job.spec;
+    victims.forEach(victim -> stopping.put(StoppableTasks.attemptOf(victim), loop.millis()));
+    links.ask(
+        owner,
+        new Preempt(
+            team.name,
+            machine,
+            spec.id(),
+            spec.rank().number(),
+            job.acceptedAt,
+            count * spec.cpus(),
+            count * spec.gpus(),
+            count * spec.ram(),
+            victims.stream().map(v -> new Victim(v.job(), v.task(), v.attempt())).toList(),
+            Constants.PREEMPT_GRACE_S));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/StoppableTasks.java
@@ -0,0 +1,144 @@
+package org.sandford.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.sandford.Constants;
+import org.sandford.machine.Roster;
+import org.sandford.peer.wire.MachineState;
+import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.TaskView;
+import org.sandford.placement.Preemption.Eviction;
+import org.sandford.placement.Preemption.Victim;
+import org.sandford.settings.Settings;
+
+/**
+ * What runs on the whole fleet at one moment, and which of it may be stopped for a job: tasks of
+ * lower rank, and, where the job lies within its team's guarantee, what other teams run beyond
+ * theirs. Services are left alone in the second case.
+ */
+final class StoppableTasks {
+  /**
+   * One attempt of a job; what distinguishes gangs from other jobs is that several tasks share one.
+   */
+  private record JobAttempt(String job, long attempt) {
+    static JobAttempt of(Victim victim) {
+      return new JobAttempt(victim.job(), victim.attempt());
+    }
+  }
+
+  private final List<Victim> running = new ArrayList<>();
+
+  /** CPUs that each team uses beyond its guarantee; negative below it. */
+  private final Map<String, Double> beyondGuarantee = new HashMap<>();
+
+  private final Map<JobAttempt, List<Victim>> byAttempt = new HashMap<>();
+
+  /** Looks through the views of all machines, which costs a step for each task. */
+  StoppableTasks(Roster roster, Settings.Facts facts, long now) {
+    for (Roster.Seen seen : roster.all()) {
+      if (roster.current(seen) && seen.view().state == MachineState.UP) {
+        seen.view().tasks.forEach(task -> add(seen, task, now));
+      }
+    }
+    running.forEach(
+        v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
+    running.replaceAll(v -> v.losing(gangOf(v).stream().mapToDouble(Victim::lossCpuS).sum()));
+    facts
+        .teams()
+        .forEach(
+            (name, limits) ->
+                beyondGuarantee.computeIfPresent(name, (n, used) -> used - limits.cpus()));
+  }
+
+  private void add(Roster.Seen seen, TaskView task, long now) {
+    if (!task.known || task.state == TaskState.EXITED) {
+      return;
+    }
+    // Views come only when something changes, so tasks have aged since.
+    double ageS = task.ageS + (now - seen.at()) / 1e9;
+    running.add(
+        new Victim(
+            seen.view().machine,
+            task.team,
+            task.job,
+            task.task,
+            task.attempt,
+            task.rank,
+            task.cpus,
+            task.gpus,
+            task.ram,
+            task.cpus * ageS));
+    beyondGuarantee.merge(task.team, task.cpus, Double::sum);
+  }
+
+  /**
+   * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the gangs
+   * of other controllers show in the views as well.
+   */
+  private List<Victim> gangOf(Victim victim) {
+    return byAttempt.get(JobAttempt.of(victim));
+  }
+
+  /** The tasks that may be stopped for the job, without those that are being stopped already. */
+  List<Victim> victims(Team team, Job job, Predicate<Attempt> stopping) {
+    boolean guaranteed = withinGuarantee(team, job);
+    Map<String, Double> borrowed = new HashMap<>(beyondGuarantee);
+    List<Victim> out = new ArrayList<>();
+    for (Victim victim : running) {
+      boolean lower = victim.rank() > job.spec.rank().number();
+      boolean lent =
+          guaranteed
+              && !victim.team().equals(team.name)
+              && victim.rank() > JobSpec.Rank.PRODUCTION.number()
+              && borrowed.getOrDefault(victim.team(), 0.0) >= victim.cpus();
+      if ((lower || lent) && !stopping.test(attemptOf(victim))) {
+        if (!lower) {
+          borrowed.merge(victim.team(), -victim.cpus(), Double::sum);
+        }
+        out.add(victim);
+      }
+    }
+    return out;
+  }
+
+  /** All that has to be stopped for these evictions, by machine: a gang always as a whole. */
+  Map<String, List<Victim>> stopsFor(List<Eviction> evictions) {
+    Map<String, List<Victim>> byMachine = new TreeMap<>();
+    Set<JobAttempt> seen = new HashSet<>();
+    for (Eviction eviction : evictions) {
+      for (Victim victim : eviction.victims()) {
+        if (seen.add(JobAttempt.of(victim))) {
+          gangOf(victim)
+              .forEach(v -> byMachine.computeIfAbsent(v.machine(), m -> new ArrayList<>()).add(v));
+        }
+      }
+    }
+    return byMachine;
+  }
+
+  static Attempt attemptOf(Victim victim) {
+    return new Attempt(victim.job(), victim.task(), victim.attempt());
+  }
+
+  /** Whether the job fits its team's guarantee together with the team's earlier unfinished jobs. */
+  private static boolean withinGuarantee(Team team, Job job) {
+    double cpus = 0;
+    double gpus = 0;
+    for (Job other : team.jobs.values()) {
+      boolean earlier = other == job || other.acceptedAt < job.acceptedAt;
+      if (earlier && !other.phase().over()) {
+        int unfinished = other.spec.tasks() - other.doneCount;
+        cpus += unfinished * other.spec.cpus();
+        gpus += unfinished * other.spec.gpus();
+      }
+    }
+    return cpus <= team.limits.cpus() + Constants.EPSILON
+        && gpus <= team.limits.gpus() + Constants.EPSILON;
+  }
+}
