Gangs reserve their places before they start; rank and guarantee stop each other no more

A gang's places are now reserved first, and its starts follow 0.18 s later.

The scenario of a preempted gang then showed an endless loop that arrays have as well: an urgent job beyond its team's guarantee stopped, by rank, what another team ran within its own, which stopped it in turn by its guarantee. A job beyond its guarantee leaves alone now what others run within theirs; production rank, which is never stopped in turn, does not.

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -441,6 +441,12 @@
    */
   public static final double GANG_GATHER_AFTER_S = 2.0;
 
+  /**
+   * Milliseconds between reserving places for a gang and starting it: by then the other controllers
+   * have seen the reservations and start nothing there.
+   */
+  public static final int GANG_RESERVE_MS = 180;
+
   // --- placement
   // -----------------------------------------------------------------------------------------------
 
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -154,6 +154,11 @@
   long preemptAgainAt;
   long waitingSince;
 
+  /** Machines at which room is kept for this gang, with their owners, until it starts. */
+  final Map<String, String> reservation = new HashMap<>();
+
+  long reservedAt;
+
   Job(JobSpec spec, long acceptedAt, boolean inherited, Phase phase, long now) {
     this.spec = spec;
     this.like = LikeTasks.of(spec);
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -1361,12 +1361,16 @@
       Planner.Plan plan = find(job, count, whole, free);
       if (plan == null) {
         job.waitsBecause(noRoom(job, whole ? count : 1));
+        preemptor.release(team, job);
         preemptor.preempt(team, job, count, free, whole);
         double reserveAfterS = gang ? Constants.GANG_GATHER_AFTER_S : Constants.GATHER_AFTER_S;
         if (whole && count > 1 && waitedS > reserveAfterS) {
           preemptor.reserveFreeRoom(team, job, count, free);
         }
+      } else if (gang && !preemptor.holdsReservation(job)) {
+        preemptor.reserve(team, job, plan);
       } else {
+        job.reservation.clear();
         carryOut(team, job, plan);
       }
     }
--- a/src/main/java/org/sandford/job/Preemptor.java
+++ b/src/main/java/org/sandford/job/Preemptor.java
@@ -128,6 +128,33 @@
     }
   }
 
+  /**
+   * Has the places of the gang's plan kept for it at their owners; it starts once all controllers
+   * know.
+   */
+  void reserve(Team team, Job gang, Planner.Plan plan) {
+    release(team, gang);
+    gang.reservedAt = loop.millis();
+    gang.notBefore = Math.max(gang.notBefore, gang.reservedAt + Constants.GANG_RESERVE_MS);
+    for (Planner.Slot slot : plan.slots()) {
+      Room room = slot.room();
+      gang.reservation.put(room.machine, room.owner);
+      ask(team, gang, room.owner, room.machine, slot.tasks(), List.of());
+    }
+  }
+
+  /** Whether places are kept for the gang still. */
+  boolean holdsReservation(Job gang) {
+    return !gang.reservation.isEmpty()
+        && loop.millis() - gang.reservedAt < Constants.KEEP_ROOM_MS - Constants.GANG_RESERVE_MS;
+  }
+
+  /** Gives back at once what is kept for a gang that cannot start with it. */
+  void release(Team team, Job gang) {
+    gang.reservation.forEach((machine, owner) -> ask(team, gang, owner, machine, 0, List.of()));
+    gang.reservation.clear();
+  }
+
   /**
    * Asks the machine's owner to keep room for so many tasks of the job, after stopping these
    * others.
--- a/src/main/java/org/sandford/job/StoppableTasks.java
+++ b/src/main/java/org/sandford/job/StoppableTasks.java
@@ -87,24 +87,56 @@
 
   /** The tasks that may be stopped for the job, without those that are being stopped already. */
   List<Victim> victims(Team team, Job job, Predicate<Attempt> stopping) {
-    boolean guaranteed = withinGuarantee(team, job);
-    Map<String, Double> borrowed = new HashMap<>(beyondGuarantee);
-    List<Victim> out = new ArrayList<>();
-    for (Victim victim : running) {
-      boolean lower = victim.rank() > job.spec.rank().number();
-      boolean lent =
-          guaranteed
-              && !victim.team().equals(team.name)
-              && victim.rank() > JobSpec.Rank.PRODUCTION.number()
-              && borrowed.getOrDefault(victim.team(), 0.0) >= victim.cpus();
-      if ((lower || lent) && !stopping.test(attemptOf(victim))) {
-        if (!lower) {
-          borrowed.merge(victim.team(), -victim.cpus(), Double::sum);
-        }
-        out.add(victim);
+    Asker asker = new Asker(team, job);
+    return running.stream()
+        .filter(victim -> !stopping.test(attemptOf(victim)))
+        .filter(asker::mayStop)
+        .toList();
+  }
+
+  /** A job that asks for room, and how much of what teams borrow it was allowed to take so far. */
+  private final class Asker {
+    private final Team team;
+    private final int rank;
+    private final boolean guaranteed;
+    private final Map<String, Double> borrowed = new HashMap<>(beyondGuarantee);
+
+    Asker(Team team, Job job) {
+      this.team = team;
+      this.rank = job.spec.rank().number();
+      this.guaranteed = withinGuarantee(team, job);
+    }
+
+    boolean mayStop(Victim victim) {
+      if (victim.rank() > rank && mayStopLowerRanks(victim)) {
+        return true;
+      }
+      boolean production = victim.rank() == JobSpec.Rank.PRODUCTION.number();
+      return guaranteed && !isOwn(victim) && !production && takeBorrowed(victim);
+    }
+
+    /**
+     * A job beyond its own team's guarantee leaves alone what others run within theirs: they would
+     * stop it in turn, for ever, and neither would come to its end. Services are never stopped in
+     * turn.
+     */
+    private boolean mayStopLowerRanks(Victim victim) {
+      boolean production = rank == JobSpec.Rank.PRODUCTION.number();
+      return production || guaranteed || isOwn(victim) || takeBorrowed(victim);
+    }
+
+    private boolean isOwn(Victim victim) {
+      return victim.team().equals(team.name);
+    }
+
+    private boolean takeBorrowed(Victim victim) {
+      double left = borrowed.getOrDefault(victim.team(), 0.0);
+      if (left < victim.cpus()) {
+        return false;
       }
+      borrowed.put(victim.team(), left - victim.cpus());
+      return true;
     }
-    return out;
   }
 
   /** All that has to be stopped for these evictions, by machine: a gang always as a whole. */
