--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -15,6 +15,7 @@
 import org.sandford.core.Loop;
 import org.sandford.job.Finals;
 import org.sandford.job.JobSpec;
+import org.sandford.job.JobStatus;
 import org.sandford.job.Jobs;
 import org.sandford.job.Lookup;
 import org.sandford.machine.Fleet;
@@ -207,7 +208,7 @@
   private void poll(String id, Consumer<Answer> answer) {
     String ended = finals.get(id);
     if (ended != null) {
-      answer.accept(Answer.of(200, Jobs.finalStatus(id, ended)));
+      answer.accept(Answer.of(200, JobStatus.finalStatus(id, ended)));
       return;
     }
     Answer own = jobs.poll(id);
@@ -242,10 +243,12 @@
         found ->
             answer.accept(
                 switch (found.kind()) {
-                  case FINAL -> Answer.of(200, Jobs.finalStatus(id, found.state()));
+                  case FINAL -> Answer.of(200, JobStatus.finalStatus(id, found.state()));
                   case OPEN -> {
                     Answer own = jobs.poll(id);
-                    yield own != null ? own : Answer.of(200, Jobs.storedStatus(id, found.record()));
+                    yield own != null
+                        ? own
+                        : Answer.of(200, JobStatus.storedStatus(id, found.record()));
                   }
                   case NONE -> Answer.refuse(404, "no job has this id");
                   case UNKNOWN -> Answer.later(503, "the job's state is not known just now", 1);
@@ -255,7 +258,7 @@
   private void abort(String id, Consumer<Answer> answer) {
     String ended = finals.get(id);
     if (ended != null) {
-      answer.accept(Answer.of(200, Jobs.finalStatus(id, ended)));
+      answer.accept(Answer.of(200, JobStatus.finalStatus(id, ended)));
       return;
     }
     if (jobs.abort(id, answer)) {
@@ -270,7 +273,7 @@
         id,
         found -> {
           switch (found.kind()) {
-            case FINAL -> answer.accept(Answer.of(200, Jobs.finalStatus(id, found.state())));
+            case FINAL -> answer.accept(Answer.of(200, JobStatus.finalStatus(id, found.state())));
             case OPEN -> forwardAbort(id, found.team(), answer);
             case NONE -> answer.accept(Answer.refuse(404, "no job has this id"));
             case UNKNOWN ->
@@ -336,7 +339,7 @@
         Answer own = jobs.poll(call.job);
         String ended = finals.get(call.job);
         if (ended != null) {
-          answer.accept(Answer.of(200, Jobs.finalStatus(call.job, ended)));
+          answer.accept(Answer.of(200, JobStatus.finalStatus(call.job, ended)));
         } else {
           answer.accept(own != null ? own : Answer.later(503, "not known here", 1));
         }
--- /dev/null
+++ b/src/main/java/org/sandford/job/JobRecords.java
@@ -0,0 +1,200 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.Answer;
+import org.sandford.core.Loop;
+import org.sandford.settings.Settings;
+import org.sandford.share.Share;
+import org.sandford.state.RecordWriter;
+import org.sandford.state.StateClient.Op;
+import org.sandford.state.StateClient.Outcome;
+import org.sandford.state.StateClient.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the records of open jobs in the store: finished tasks while a job goes on, and its end. A
+ * job has one write under way at a time, and one whose outcome is unknown is read back before the
+ * next.
+ */
+final class JobRecords {
+  private static final Logger log = LoggerFactory.getLogger(JobRecords.class);
+
+  /** Told of what is stored. */
+  interface Stored {
+    /** The job's final state is stored, so it may be told. */
+    void ended(Job job, String state);
+
+    /** The finished task is stored, so its result may be cleared from its worker. */
+    void stored(Job job, Job.Clear clear);
+  }
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final OwnedJobs owned;
+  private final RecordWriter writer;
+  private final Lookup lookup;
+  private final Stored ends;
+
+  JobRecords(
+      Loop loop,
+      Settings settings,
+      Share share,
+      OwnedJobs owned,
+      RecordWriter writer,
+      Lookup lookup,
+      Stored ends) {
+    this.loop = loop;
+    this.settings = settings;
+    this.share = share;
+    this.owned = owned;
+    this.writer = writer;
+    this.lookup = lookup;
+    this.ends = ends;
+  }
+
+  /** Writes what the record lacks; one write per job at a time. */
+  void tend(Job job) {
+    boolean ending = job.phase() == Job.Phase.ABORTING || job.allDone();
+    if (ending && job.progress != null && writer.withdraw(job.progress)) {
+      // The job's end says it all, and must not wait behind what can.
+      job.progress = null;
+      job.writing = false;
+    }
+    if (job.writing
+        || job.phase().over()
+        || job.phase() == Job.Phase.STORING
+        || !owned.holds(job)) {
+      return;
+    }
+    if (job.phase() == Job.Phase.ABORTING) {
+      writeFinal(job, "aborted");
+    } else if (job.allDone()) {
+      writeFinal(job, "done");
+    } else if (job.dirty && !job.progressDue) {
+      job.progressDue = true;
+      loop.after(
+          Constants.PROGRESS_MS,
+          () -> {
+            job.progressDue = false;
+            boolean wanted =
+                job.dirty && !job.writing && job.phase() == Job.Phase.OPEN && !job.allDone();
+            if (wanted && owned.holds(job)) {
+              writeProgress(job);
+            }
+          });
+    }
+  }
+
+  private Map<String, Long> recordConditions(Job job) {
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(JobStore.OPEN + job.spec.id(), job.revision);
+    conditions.put(Share.TEAMS_KEY, share.teams().revision());
+    return conditions;
+  }
+
+  private void writeFinal(Job job, String state) {
+    job.writing = true;
+    String id = job.spec.id();
+    writer.write(
+        new RecordWriter.Write(
+            recordConditions(job),
+            List.of(
+                Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
+            RecordWriter.Kind.END,
+            result -> {
+              job.writing = false;
+              if (!owned.holds(job)) {
+                return;
+              }
+              if (result.outcome() == Outcome.DONE) {
+                ends.ended(job, state);
+              } else {
+                wroteBadly(job, result);
+              }
+            }));
+  }
+
+  private void writeProgress(Job job) {
+    job.writing = true;
+    job.dirty = false;
+    List<Job.Clear> clears = new ArrayList<>(job.clears);
+    ObjectNode record = job.record(settings.facts().stateValueBytes());
+    job.progress =
+        new RecordWriter.Write(
+            recordConditions(job),
+            List.of(Op.put(JobStore.OPEN + job.spec.id(), record)),
+            RecordWriter.Kind.PROGRESS,
+            result -> {
+              job.writing = false;
+              job.progress = null;
+              if (!owned.holds(job)) {
+                return;
+              }
+              if (result.outcome() == Outcome.DONE) {
+                job.revision = result.revision();
+                var stored = TaskRanges.read(record.path("d"));
+                for (Job.Clear clear : clears) {
+                  if (stored.contains(clear.task())) {
+                    job.clears.remove(clear);
+                    ends.stored(job, clear);
+                  }
+                }
+                tend(job);
+              } else {
+                job.dirty = true;
+                wroteBadly(job, result);
+              }
+            });
+    writer.write(job.progress);
+  }
+
+  private void wroteBadly(Job job, Result result) {
+    boolean ofTeams = result.failed().contains(Share.TEAMS_KEY);
+    if (result.outcome() == Outcome.REFUSED || (result.outcome() == Outcome.CONFLICT && ofTeams)) {
+      if (result.outcome() == Outcome.REFUSED) {
+        answerAborters(
+            job,
+            Answer.later(503, "the store does not take the change", Constants.RETRY_AUTHORITY_S));
+      }
+      loop.after(Constants.STATE_RETRY_MS, () -> tend(job));
+      return;
+    }
+    job.writing = true;
+    loop.after(
+        Constants.STATE_RETRY_MS,
+        () ->
+            lookup.find(
+                job.spec.id(),
+                found -> {
+                  job.writing = false;
+                  if (!owned.holds(job)) {
+                    return;
+                  }
+                  switch (found.kind()) {
+                    case FINAL -> ends.ended(job, found.state());
+                    case OPEN -> {
+                      job.revision = found.revision();
+                      TaskRanges.first(TaskRanges.read(found.record().path("d")), Integer.MAX_VALUE)
+                          .forEach(job::finish);
+                      tend(job);
+                    }
+                    case NONE -> log.error("{} is missing from the store", job.spec.id());
+                    case UNKNOWN -> wroteBadly(job, result);
+                  }
+                }));
+  }
+
+  static void answerAborters(Job job, Answer answer) {
+    List<Consumer<Answer>> waiting = new ArrayList<>(job.aborters);
+    job.aborters.clear();
+    waiting.forEach(a -> a.accept(answer));
+  }
+}
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -1,22 +1,18 @@
 package org.sandford.job;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.sandford.Constants;
 import org.sandford.cloud.Flavor;
 import org.sandford.core.Answer;
-import org.sandford.core.Json;
 import org.sandford.core.Loop;
 import org.sandford.job.Job.Placed;
 import org.sandford.job.Job.TaskPhase;
@@ -43,9 +39,6 @@
 import org.sandford.share.AssignmentMap.TeamOwner;
 import org.sandford.share.Share;
 import org.sandford.state.RecordWriter;
-import org.sandford.state.StateClient.Op;
-import org.sandford.state.StateClient.Outcome;
-import org.sandford.state.StateClient.Result;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -55,20 +48,20 @@
  */
 public final class Jobs {
   private static final Logger log = LoggerFactory.getLogger(Jobs.class);
-  private static final String TEAMS_KEY = "c/teams";
 
   private final Loop loop;
   private final Settings settings;
   private final Share share;
   private final PeerLinks links;
   private final Roster roster;
-  private final RecordWriter writer;
   private final JobStore store;
   private final Finals finals;
-  private final Lookup lookup;
   private final Planner planner = new Planner();
-  private final Map<String, Team> teams = new TreeMap<>();
-  private final Map<String, Job> jobs = new HashMap<>();
+  private final OwnedJobs owned;
+  private final Map<String, Team> teams;
+  private final Map<String, Job> jobs;
+  private final Submissions submissions;
+  private final JobRecords records;
   private final RoomBook rooms;
   private final Gangs gangs;
   private final Preemptor preemptor;
@@ -103,19 +96,51 @@
     this.share = share;
     this.links = links;
     this.roster = roster;
-    this.writer = writer;
     this.store = store;
     this.finals = finals;
-    this.lookup = lookup;
+    this.rooms = new RoomBook(roster, share, links, settings.label(), flavors);
+    this.owned = new OwnedJobs(share, lookup, rooms);
+    this.teams = owned.teams();
+    this.jobs = owned.jobs();
+    this.submissions =
+        new Submissions(
+            loop, settings, share, owned, writer, store, finals, lookup, new TakenJobs());
+    this.records = new JobRecords(loop, settings, share, owned, writer, lookup, new StoredJobs());
     this.preemptor = new Preemptor(loop, settings, roster, links, planner);
     this.gangs = new Gangs(loop, settings.facts(), this::stop);
-    this.rooms = new RoomBook(roster, share, links, settings.label(), flavors);
+  }
+
+  /** What follows from jobs that were taken up. */
+  private final class TakenJobs implements Submissions.Changes {
+    @Override
+    public void jobsChanged() {
+      planSoon();
+    }
+
+    @Override
+    public void jobFound(Job job) {
+      findTasks(Set.of(job.spec.id()));
+      planSoon();
+    }
+  }
+
+  /** What follows from records that are stored. */
+  private final class StoredJobs implements JobRecords.Stored {
+    @Override
+    public void ended(Job job, String state) {
+      Jobs.this.ended(job, state);
+    }
+
+    @Override
+    public void stored(Job job, Job.Clear clear) {
+      clear(job, clear);
+    }
   }
 
   public void start() {
     loop.every(Constants.PLAN_IDLE_MS, this::planSoon);
-    loop.every(Constants.ADDED_LOOK_MS, this::takeAllAdded);
-    loop.every(Constants.AUDIT_MS, this::audit);
+    loop.every(Constants.ADDED_LOOK_MS, submissions::takeAllAdded);
+    loop.every(Constants.AUDIT_MS, submissions::audit);
     loop.every(Constants.GANG_LOOK_MS, this::lookAtGangs);
   }
 
@@ -248,7 +273,7 @@
                             loop.nanos());
                     job.revision = entry.revision();
                     job.inherit(TaskRanges.read(entry.value().path("d")));
-                    adopt(team, job);
+                    owned.adopt(team, job);
                     adopted.add(id);
                   }
                 });
@@ -257,20 +282,14 @@
           }
           findTasks(adopted);
           for (Team team : teams.values()) {
-            team.jobs.values().forEach(this::tend);
+            team.jobs.values().forEach(records::tend);
           }
-          takeAllAdded();
+          submissions.takeAllAdded();
           settleAnew();
           planSoon();
         });
   }
 
-  private void adopt(Team team, Job job) {
-    team.jobs.put(job.spec.id(), job);
-    jobs.put(job.spec.id(), job);
-    lookup.remember(job.spec.id(), team.name);
-  }
-
   /**
    * Looks at what is still to be told for the teams that were taken over. The first look of a team
    * goes through the whole map. Machines that enter the map later are in nobody's book but in that
@@ -620,7 +639,7 @@
         job.clears.add(clear);
         job.dirty = true;
       }
-      tend(job);
+      records.tend(job);
       return;
     }
     ask(
@@ -694,191 +713,6 @@
   // --- users
   // ---------------------------------------------------------------------------------------------
 
-  /** Whether this controller speaks for the team now. */
-  private Answer cannotSpeakFor(String team) {
-    Team owned = teams.get(team);
-    if (owned == null || !owned.speaks() || !share.holdValid()) {
-      return Answer.later(
-          503, "no controller speaks for team " + team + " just now", Constants.RETRY_AUTHORITY_S);
-    }
-    return null;
-  }
-
-  public void submit(JobSpec spec, Consumer<Answer> answer) {
-    String ended = finals.get(spec.id());
-    if (ended != null) {
-      answer.accept(Answer.of(200, finalStatus(spec.id(), ended)));
-      return;
-    }
-    Answer refusal = cannotSpeakFor(spec.team());
-    if (refusal != null) {
-      answer.accept(refusal);
-      return;
-    }
-    Job known = jobs.get(spec.id());
-    if (known != null) {
-      if (known.phase() == Job.Phase.STORING) {
-        known.submitters.add(answer);
-      } else {
-        answer.accept(Answer.of(200, known.status()));
-      }
-      return;
-    }
-    if (overloaded()) {
-      answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
-      return;
-    }
-    Team team = teams.get(spec.team());
-    Job job = new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos());
-    job.submitters.add(answer);
-    adopt(team, job);
-    storeNew(job);
-  }
-
-  /** Whether a record would wait too long for the store. */
-  private boolean overloaded() {
-    double perSecond = settings.facts().stateWriteRps() * Constants.STATE_RATE_SHARE;
-    return writer.backlog() >= perSecond * Constants.SUBMISSIONS_WAITING_S;
-  }
-
-  /** That the id was never used: neither by an open job nor by one that has ended. */
-  private static Map<String, Long> absent(String id) {
-    Map<String, Long> conditions = new LinkedHashMap<>();
-    conditions.put(JobStore.OPEN + id, 0L);
-    conditions.put(JobStore.FINAL + id, 0L);
-    return conditions;
-  }
-
-  private Map<String, Long> newJobConditions(String id) {
-    Map<String, Long> conditions = absent(id);
-    conditions.put(TEAMS_KEY, share.teams().revision());
-    return conditions;
-  }
-
-  private void storeNew(Job job) {
-    String id = job.spec.id();
-    ObjectNode record = job.record(settings.facts().stateValueBytes());
-    writer.write(
-        new RecordWriter.Write(
-            newJobConditions(id),
-            List.of(Op.put(JobStore.OPEN + id, record)),
-            RecordWriter.Kind.NEW,
-            result -> storedNew(job, result)));
-  }
-
-  private void storedNew(Job job, Result result) {
-    if (jobs.get(job.spec.id()) != job) {
-      return;
-    }
-    switch (result.outcome()) {
-      case DONE -> accepted(job, result.revision(), 201);
-      case REFUSED -> {
-        discard(job);
-        answerSubmitters(
-            job, Answer.later(503, "the job could not be stored", Constants.RETRY_AUTHORITY_S));
-      }
-      case CONFLICT -> {
-        if (result.failed().contains(TEAMS_KEY)) {
-          discard(job);
-          answerSubmitters(
-              job, Answer.later(503, "the teams' owners change", Constants.RETRY_AUTHORITY_S));
-        } else {
-          readBackNew(job);
-        }
-      }
-      case UNKNOWN -> {
-        answerSubmitters(
-            job,
-            Answer.later(
-                503, "it is not known whether the job was stored", Constants.RETRY_AUTHORITY_S));
-        loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
-      }
-    }
-  }
-
-  private void accepted(Job job, long revision, int status) {
-    job.revision = revision;
-    job.becomes(Job.Phase.OPEN);
-    log.debug("{} is accepted", job.spec.id());
-    answerSubmitters(
-        job,
-        Answer.of(status, Json.object().put("name_id", job.spec.id()).put("status", "queued")));
-    planSoon();
-  }
-
-  private void discard(Job job) {
-    jobs.remove(job.spec.id(), job);
-    job.placed().forEach(rooms::unplaced);
-    Team team = teams.get(job.spec.team());
-    if (team != null) {
-      team.jobs.remove(job.spec.id(), job);
-    }
-  }
-
-  private static void answerSubmitters(Job job, Answer answer) {
-    List<Consumer<Answer>> waiting = new ArrayList<>(job.submitters);
-    job.submitters.clear();
-    waiting.forEach(s -> s.accept(answer));
-  }
-
-  /** The store holds the job, or may: see what is there before anything else is written. */
-  private void readBackNew(Job job) {
-    if (jobs.get(job.spec.id()) != job || job.phase() != Job.Phase.STORING) {
-      return;
-    }
-    lookup.find(
-        job.spec.id(),
-        found -> {
-          if (jobs.get(job.spec.id()) != job || job.phase() != Job.Phase.STORING) {
-            return;
-          }
-          switch (found.kind()) {
-            case OPEN -> {
-              JobSpec stored = JobStore.spec(job.spec.id(), found.record());
-              // Another controller's record may have had tasks started under it, so it counts as
-              // inherited.
-              boolean ours = found.record().path("a").asLong() == job.acceptedAt;
-              if (ours && stored.equals(job.spec)) {
-                accepted(job, found.revision(), 200);
-              } else {
-                // The id was used before, perhaps with another body: that first one is the job.
-                List<Consumer<Answer>> asking = new ArrayList<>(job.submitters);
-                discard(job);
-                Job first = jobs.get(job.spec.id());
-                ObjectNode status =
-                    first != null ? first.status() : storedStatus(job.spec.id(), found.record());
-                asking.forEach(a -> a.accept(Answer.of(200, status)));
-                reloadStray(stored, found);
-              }
-            }
-            case FINAL -> {
-              discard(job);
-              answerSubmitters(job, Answer.of(200, finalStatus(job.spec.id(), found.state())));
-            }
-            case NONE -> storeNew(job);
-            case UNKNOWN -> {
-              answerSubmitters(
-                  job, Answer.later(503, "the store does not answer", Constants.RETRY_AUTHORITY_S));
-              loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
-            }
-          }
-        });
-  }
-
-  /** A job stands in the store that should be known here, when its team is ours. */
-  private void reloadStray(JobSpec stored, Lookup.Found found) {
-    Team team = teams.get(stored.team());
-    if (team != null && team.speaks() && !jobs.containsKey(stored.id())) {
-      Job job =
-          new Job(stored, found.record().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
-      job.revision = found.revision();
-      job.inherit(TaskRanges.read(found.record().path("d")));
-      adopt(team, job);
-      findTasks(Set.of(job.spec.id()));
-      planSoon();
-    }
-  }
-
   /**
    * Takes in what the machines hold of jobs that were not known when they told of it; a former
    * owner may have started their tasks, and what does not change is not told again at once. Of
@@ -897,137 +731,19 @@
     }
   }
 
-  /**
-   * Stores a job whose team's owner cannot take it just now: the record alone makes it accepted.
-   * Only the owner ever starts its tasks; a key that all controllers watch tells it of the job.
-   */
-  public void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
-    Answer later =
-        Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
-    if (overloaded()) {
-      answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
-      return;
-    }
-    ObjectNode record =
-        new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos())
-            .record(settings.facts().stateValueBytes());
-    ObjectNode marker = Json.object().put("t", spec.team());
-    writer.write(
-        new RecordWriter.Write(
-            absent(spec.id()),
-            List.of(
-                Op.put(JobStore.OPEN + spec.id(), record),
-                Op.put(Share.addedKey(spec.id()), marker)),
-            RecordWriter.Kind.NEW,
-            result -> {
-              if (result.outcome() == Outcome.DONE) {
-                log.info("{} is stored for the owner of team {}", spec.id(), spec.team());
-                answer.accept(
-                    Answer.of(
-                        201, Json.object().put("name_id", spec.id()).put("status", "queued")));
-              } else if (result.outcome() == Outcome.CONFLICT) {
-                lookup.find(
-                    spec.id(),
-                    found ->
-                        answer.accept(
-                            switch (found.kind()) {
-                              case OPEN -> Answer.of(200, storedStatus(spec.id(), found.record()));
-                              case FINAL -> Answer.of(200, finalStatus(spec.id(), found.state()));
-                              default -> later;
-                            }));
-              } else {
-                answer.accept(later);
-              }
-            }));
-  }
-
-  private void takeAllAdded() {
-    Map.copyOf(share.added()).forEach((id, told) -> takeAdded(id, told.team()));
-  }
-
-  /**
-   * Takes up a job that another controller stored for a team of ours, and clears the key that told
-   * of it.
-   */
-  public void takeAdded(String id, String teamName) {
-    Team team = teams.get(teamName);
-    if (team == null || !team.speaks()) {
-      return;
-    }
-    Job known = jobs.get(id);
-    if (known != null && known.phase() == Job.Phase.STORING) {
-      // Our own write may yet fail, and then the job is forgotten here: it is looked at again.
-      return;
-    }
-    if (known != null || finals.contains(id)) {
-      clearAdded(id);
-      return;
-    }
-    lookup.find(
-        id,
-        found -> {
-          if (teams.get(teamName) != team || !team.speaks()) {
-            return;
-          }
-          switch (found.kind()) {
-            case OPEN -> {
-              reloadStray(JobStore.spec(id, found.record()), found);
-              clearAdded(id);
-            }
-            case FINAL -> clearAdded(id);
-            default -> log.debug("{} cannot be read just now", id);
-          }
-        });
-  }
-
-  /** Every open job in the store of a team of ours is known here; one that is not is taken up. */
-  private void audit() {
-    if (!share.holdValid() || teams.isEmpty()) {
-      return;
-    }
-    store.openJobs(
-        open ->
-            open.forEach(
-                (id, entry) -> {
-                  String team = JobStore.spec(id, entry.value()).team();
-                  if (teams.containsKey(team) && !jobs.containsKey(id) && !finals.contains(id)) {
-                    log.info("{} of team {} was not known here", id, team);
-                    // The listing may be older than the job's end, so it is read once more.
-                    takeAdded(id, team);
-                  }
-                }));
-  }
-
-  /**
-   * Removes the key that told of the job, as it was seen: carried out late, the removal finds
-   * another or none.
-   */
-  private void clearAdded(String id) {
-    Share.Added told = share.added().get(id);
-    if (told == null) {
-      return;
-    }
-    String key = Share.addedKey(id);
-    writer.write(
-        new RecordWriter.Write(
-            Map.of(key, told.revision()),
-            List.of(Op.remove(key)),
-            RecordWriter.Kind.PROGRESS,
-            result -> {}));
+  /** A user's submission for a team of this controller. */
+  public void submit(JobSpec spec, Consumer<Answer> answer) {
+    submissions.submit(spec, answer);
   }
 
-  public static ObjectNode finalStatus(String id, String state) {
-    return Json.object().put("name_id", id).put("status", state);
+  /** Stores a job whose team's owner cannot take it just now. */
+  public void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
+    submissions.storeForOwner(spec, answer);
   }
 
-  /** What a fresh read of an open job's record tells. */
-  public static ObjectNode storedStatus(String id, JsonNode record) {
-    int done = TaskRanges.count(TaskRanges.read(record.path("d")));
-    return Json.object()
-        .put("name_id", id)
-        .put("status", done > 0 ? "running" : "queued")
-        .put("done", done)
-        .put("running", 0);
+  /** Another controller stored a job for this team. */
+  public void takeAdded(String id, String team) {
+    submissions.takeAdded(id, team);
   }
 
   /** The state of a job of ours, or null when the caller has to ask the store. */
@@ -1035,7 +751,7 @@
     Job job = jobs.get(id);
     if (job == null
         || job.phase() == Job.Phase.STORING
-        || cannotSpeakFor(job.spec.team()) != null) {
+        || owned.cannotSpeakFor(job.spec.team()) != null) {
       return null;
     }
     return Answer.of(200, job.status());
@@ -1051,7 +767,7 @@
       answer.accept(Answer.of(200, job.status()));
       return true;
     }
-    Answer refusal = cannotSpeakFor(job.spec.team());
+    Answer refusal = owned.cannotSpeakFor(job.spec.team());
     if (refusal != null || job.phase() == Job.Phase.STORING) {
       answer.accept(
           refusal != null
@@ -1066,7 +782,7 @@
         stop(job, p, 0);
       }
     }
-    tend(job);
+    records.tend(job);
     return true;
   }
 
@@ -1082,102 +798,6 @@
   // --- records
   // ---------------------------------------------------------------------------------------------
 
-  /** Writes what the record lacks; one write per job at a time. */
-  private void tend(Job job) {
-    boolean ending = job.phase() == Job.Phase.ABORTING || job.allDone();
-    if (ending && job.progress != null && writer.withdraw(job.progress)) {
-      // The job's end says it all, and must not wait behind what can.
-      job.progress = null;
-      job.writing = false;
-    }
-    if (job.writing
-        || job.phase().over()
-        || job.phase() == Job.Phase.STORING
-        || jobs.get(job.spec.id()) != job) {
-      return;
-    }
-    if (job.phase() == Job.Phase.ABORTING) {
-      writeFinal(job, "aborted");
-    } else if (job.allDone()) {
-      writeFinal(job, "done");
-    } else if (job.dirty && !job.progressDue) {
-      job.progressDue = true;
-      loop.after(
-          Constants.PROGRESS_MS,
-          () -> {
-            job.progressDue = false;
-            boolean wanted =
-                job.dirty && !job.writing && job.phase() == Job.Phase.OPEN && !job.allDone();
-            if (wanted && jobs.get(job.spec.id()) == job) {
-              writeProgress(job);
-            }
-          });
-    }
-  }
-
-  private Map<String, Long> recordConditions(Job job) {
-    Map<String, Long> conditions = new LinkedHashMap<>();
-    conditions.put(JobStore.OPEN + job.spec.id(), job.revision);
-    conditions.put(TEAMS_KEY, share.teams().revision());
-    return conditions;
-  }
-
-  private void writeFinal(Job job, String state) {
-    job.writing = true;
-    String id = job.spec.id();
-    writer.write(
-        new RecordWriter.Write(
-            recordConditions(job),
-            List.of(
-                Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
-            RecordWriter.Kind.END,
-            result -> {
-              job.writing = false;
-              if (jobs.get(id) != job) {
-                return;
-              }
-              if (result.outcome() == Outcome.DONE) {
-                ended(job, state);
-              } else {
-                wroteBadly(job, result);
-              }
-            }));
-  }
-
-  private void writeProgress(Job job) {
-    job.writing = true;
-    job.dirty = false;
-    List<Job.Clear> clears = new ArrayList<>(job.clears);
-    ObjectNode record = job.record(settings.facts().stateValueBytes());
-    job.progress =
-        new RecordWriter.Write(
-            recordConditions(job),
-            List.of(Op.put(JobStore.OPEN + job.spec.id(), record)),
-            RecordWriter.Kind.PROGRESS,
-            result -> {
-              job.writing = false;
-              job.progress = null;
-              if (jobs.get(job.spec.id()) != job) {
-                return;
-              }
-              if (result.outcome() == Outcome.DONE) {
-                job.revision = result.revision();
-                var stored = TaskRanges.read(record.path("d"));
-                for (Job.Clear clear : clears) {
-                  if (stored.contains(clear.task())) {
-                    job.clears.remove(clear);
-                    clear(job, clear);
-                  }
-                }
-                tend(job);
-              } else {
-                job.dirty = true;
-                wroteBadly(job, result);
-              }
-            });
-    writer.write(job.progress);
-  }
-
   private void clear(Job job, Job.Clear clear) {
     MachineOwner place = share.machines().of().get(clear.machine());
     Team team = teams.get(job.spec.team());
@@ -1194,54 +814,6 @@
     }
   }
 
-  private void wroteBadly(Job job, Result result) {
-    boolean ofTeams = result.failed().contains(TEAMS_KEY);
-    if (result.outcome() == Outcome.REFUSED || (result.outcome() == Outcome.CONFLICT && ofTeams)) {
-      if (result.outcome() == Outcome.REFUSED) {
-        answerAborters(
-            job,
-            Answer.later(503, "the store does not take the change", Constants.RETRY_AUTHORITY_S));
-      }
-      loop.after(Constants.STATE_RETRY_MS, () -> tend(job));
-      return;
-    }
-    job.writing = true;
-    loop.after(
-        Constants.STATE_RETRY_MS,
-        () ->
-            lookup.find(
-                job.spec.id(),
-                found -> {
-                  job.writing = false;
-                  if (jobs.get(job.spec.id()) != job) {
-                    return;
-                  }
-                  switch (found.kind()) {
-                    case FINAL -> ended(job, found.state());
-                    case OPEN -> {
-                      job.revision = found.revision();
-                      TaskRanges.read(found.record().path("d"))
-                          .asRanges()
-                          .forEach(
-                              r ->
-                                  TaskRanges.first(
-                                          com.google.common.collect.ImmutableRangeSet.of(r),
-                                          Integer.MAX_VALUE)
-                                      .forEach(job::finish));
-                      tend(job);
-                    }
-                    case NONE -> log.error("{} is missing from the store", job.spec.id());
-                    case UNKNOWN -> wroteBadly(job, result);
-                  }
-                }));
-  }
-
-  private static void answerAborters(Job job, Answer answer) {
-    List<Consumer<Answer>> waiting = new ArrayList<>(job.aborters);
-    job.aborters.clear();
-    waiting.forEach(a -> a.accept(answer));
-  }
-
   /**
    * The final state is stored: it may be told, and what is left of the job on machines has to go.
    */
@@ -1249,14 +821,14 @@
     job.becomes(state.equals("done") ? Job.Phase.DONE : Job.Phase.ABORTED);
     log.debug("{} is {}", job.spec.id(), state);
     finals.put(job.spec.id(), job.finalRecord(state));
-    answerAborters(job, Answer.of(200, finalStatus(job.spec.id(), state)));
+    JobRecords.answerAborters(job, Answer.of(200, JobStatus.finalStatus(job.spec.id(), state)));
     for (Placed p : job.placed()) {
       stop(job, p, 0);
     }
     job.clears.forEach(clear -> clear(job, clear));
     // What still stands somewhere counts against the team's limit until it is gone.
     if (job.holding() == 0) {
-      discard(job);
+      owned.discard(job);
     } else {
       leave(job);
     }
@@ -1268,7 +840,7 @@
    */
   private void leave(Job job) {
     if (job.holding() == 0 || jobs.get(job.spec.id()) != job) {
-      discard(job);
+      owned.discard(job);
       planSoon();
       return;
     }
--- /dev/null
+++ b/src/main/java/org/sandford/job/OwnedJobs.java
@@ -0,0 +1,86 @@
+package org.sandford.job;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.sandford.Constants;
+import org.sandford.core.Answer;
+import org.sandford.share.Share;
+
+/** The teams that this controller owns, and their open jobs. */
+final class OwnedJobs {
+  private final Share share;
+  private final Lookup lookup;
+  private final RoomBook rooms;
+  private final Map<String, Team> teams = new TreeMap<>();
+  private final Map<String, Job> jobs = new HashMap<>();
+
+  OwnedJobs(Share share, Lookup lookup, RoomBook rooms) {
+    this.share = share;
+    this.lookup = lookup;
+    this.rooms = rooms;
+  }
+
+  /** The teams by name; whoever changes them answers for their jobs. */
+  Map<String, Team> teams() {
+    return teams;
+  }
+
+  /** The open jobs of all teams by id. */
+  Map<String, Job> jobs() {
+    return jobs;
+  }
+
+  Team team(String name) {
+    return teams.get(name);
+  }
+
+  boolean owns(String team) {
+    return teams.containsKey(team);
+  }
+
+  boolean ownsNothing() {
+    return teams.isEmpty();
+  }
+
+  Job job(String id) {
+    return jobs.get(id);
+  }
+
+  boolean knows(String id) {
+    return jobs.containsKey(id);
+  }
+
+  /**
+   * Whether this very job is known still: it may have been given up, or replaced by another of its
+   * id.
+   */
+  boolean holds(Job job) {
+    return jobs.get(job.spec.id()) == job;
+  }
+
+  /** Whether this controller speaks for the team now. */
+  Answer cannotSpeakFor(String team) {
+    Team owned = teams.get(team);
+    if (owned == null || !owned.speaks() || !share.holdValid()) {
+      return Answer.later(
+          503, "no controller speaks for team " + team + " just now", Constants.RETRY_AUTHORITY_S);
+    }
+    return null;
+  }
+
+  void discard(Job job) {
+    jobs.remove(job.spec.id(), job);
+    job.placed().forEach(rooms::unplaced);
+    Team team = teams.get(job.spec.team());
+    if (team != null) {
+      team.jobs.remove(job.spec.id(), job);
+    }
+  }
+
+  void adopt(Team team, Job job) {
+    team.jobs.put(job.spec.id(), job);
+    jobs.put(job.spec.id(), job);
+    lookup.remember(job.spec.id(), team.name);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/Submissions.java
@@ -0,0 +1,358 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.sandford.Constants;
+import org.sandford.core.Answer;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.settings.Settings;
+import org.sandford.share.Share;
+import org.sandford.state.RecordWriter;
+import org.sandford.state.StateClient.Op;
+import org.sandford.state.StateClient.Outcome;
+import org.sandford.state.StateClient.Result;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Takes new jobs: from users, and those that other controllers stored for a team of this one. A job
+ * counts as accepted once its record is stored; what is not known to be stored is read back before
+ * anything else is written.
+ */
+final class Submissions {
+  private static final Logger log = LoggerFactory.getLogger(Submissions.class);
+
+  /** Told of what became of the jobs of this controller's teams. */
+  interface Changes {
+    /** Jobs wait that did not wait before. */
+    void jobsChanged();
+
+    /** A job was taken up whose tasks a former owner may have started. */
+    void jobFound(Job job);
+  }
+
+  private final Loop loop;
+  private final Settings settings;
+  private final Share share;
+  private final OwnedJobs owned;
+  private final RecordWriter writer;
+  private final JobStore store;
+  private final Finals finals;
+  private final Lookup lookup;
+  private final Changes changes;
+
+  Submissions(
+      Loop loop,
+      Settings settings,
+      Share share,
+      OwnedJobs owned,
+      RecordWriter writer,
+      JobStore store,
+      Finals finals,
+      Lookup lookup,
+      Changes changes) {
+    this.loop = loop;
+    this.settings = settings;
+    this.share = share;
+    this.owned = owned;
+    this.writer = writer;
+    this.store = store;
+    this.finals = finals;
+    this.lookup = lookup;
+    this.changes = changes;
+  }
+
+  void submit(JobSpec spec, Consumer<Answer> answer) {
+    String ended = finals.get(spec.id());
+    if (ended != null) {
+      answer.accept(Answer.of(200, JobStatus.finalStatus(spec.id(), ended)));
+      return;
+    }
+    Answer refusal = owned.cannotSpeakFor(spec.team());
+    if (refusal != null) {
+      answer.accept(refusal);
+      return;
+    }
+    Job known = owned.job(spec.id());
+    if (known != null) {
+      if (known.phase() == Job.Phase.STORING) {
+        known.submitters.add(answer);
+      } else {
+        answer.accept(Answer.of(200, known.status()));
+      }
+      return;
+    }
+    if (overloaded()) {
+      answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
+      return;
+    }
+    Team team = owned.team(spec.team());
+    Job job = new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos());
+    job.submitters.add(answer);
+    owned.adopt(team, job);
+    storeNew(job);
+  }
+
+  /** Whether a record would wait too long for the store. */
+  private boolean overloaded() {
+    double perSecond = settings.facts().stateWriteRps() * Constants.STATE_RATE_SHARE;
+    return writer.backlog() >= perSecond * Constants.SUBMISSIONS_WAITING_S;
+  }
+
+  /** That the id was never used: neither by an open job nor by one that has ended. */
+  private static Map<String, Long> absent(String id) {
+    Map<String, Long> conditions = new LinkedHashMap<>();
+    conditions.put(JobStore.OPEN + id, 0L);
+    conditions.put(JobStore.FINAL + id, 0L);
+    return conditions;
+  }
+
+  private Map<String, Long> newJobConditions(String id) {
+    Map<String, Long> conditions = absent(id);
+    conditions.put(Share.TEAMS_KEY, share.teams().revision());
+    return conditions;
+  }
+
+  private void storeNew(Job job) {
+    String id = job.spec.id();
+    ObjectNode record = job.record(settings.facts().stateValueBytes());
+    writer.write(
+        new RecordWriter.Write(
+            newJobConditions(id),
+            List.of(Op.put(JobStore.OPEN + id, record)),
+            RecordWriter.Kind.NEW,
+            result -> storedNew(job, result)));
+  }
+
+  private void storedNew(Job job, Result result) {
+    if (!owned.holds(job)) {
+      return;
+    }
+    switch (result.outcome()) {
+      case DONE -> accepted(job, result.revision(), 201);
+      case REFUSED -> {
+        owned.discard(job);
+        answerSubmitters(
+            job, Answer.later(503, "the job could not be stored", Constants.RETRY_AUTHORITY_S));
+      }
+      case CONFLICT -> {
+        if (result.failed().contains(Share.TEAMS_KEY)) {
+          owned.discard(job);
+          answerSubmitters(
+              job, Answer.later(503, "the teams' owners change", Constants.RETRY_AUTHORITY_S));
+        } else {
+          readBackNew(job);
+        }
+      }
+      case UNKNOWN -> {
+        answerSubmitters(
+            job,
+            Answer.later(
+                503, "it is not known whether the job was stored", Constants.RETRY_AUTHORITY_S));
+        loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
+      }
+    }
+  }
+
+  private void accepted(Job job, long revision, int status) {
+    job.revision = revision;
+    job.becomes(Job.Phase.OPEN);
+    log.debug("{} is accepted", job.spec.id());
+    answerSubmitters(
+        job,
+        Answer.of(status, Json.object().put("name_id", job.spec.id()).put("status", "queued")));
+    changes.jobsChanged();
+  }
+
+  private static void answerSubmitters(Job job, Answer answer) {
+    List<Consumer<Answer>> waiting = new ArrayList<>(job.submitters);
+    job.submitters.clear();
+    waiting.forEach(s -> s.accept(answer));
+  }
+
+  /** The store holds the job, or may: see what is there before anything else is written. */
+  private void readBackNew(Job job) {
+    if (!owned.holds(job) || job.phase() != Job.Phase.STORING) {
+      return;
+    }
+    lookup.find(
+        job.spec.id(),
+        found -> {
+          if (!owned.holds(job) || job.phase() != Job.Phase.STORING) {
+            return;
+          }
+          switch (found.kind()) {
+            case OPEN -> {
+              JobSpec stored = JobStore.spec(job.spec.id(), found.record());
+              // Another controller's record may have had tasks started under it, so it counts as
+              // inherited.
+              boolean ours = found.record().path("a").asLong() == job.acceptedAt;
+              if (ours && stored.equals(job.spec)) {
+                accepted(job, found.revision(), 200);
+              } else {
+                // The id was used before, perhaps with another body: that first one is the job.
+                List<Consumer<Answer>> asking = new ArrayList<>(job.submitters);
+                owned.discard(job);
+                Job first = owned.job(job.spec.id());
+                ObjectNode status =
+                    first != null
+                        ? first.status()
+                        : JobStatus.storedStatus(job.spec.id(), found.record());
+                asking.forEach(a -> a.accept(Answer.of(200, status)));
+                reloadStray(stored, found);
+              }
+            }
+            case FINAL -> {
+              owned.discard(job);
+              answerSubmitters(
+                  job, Answer.of(200, JobStatus.finalStatus(job.spec.id(), found.state())));
+            }
+            case NONE -> storeNew(job);
+            case UNKNOWN -> {
+              answerSubmitters(
+                  job, Answer.later(503, "the store does not answer", Constants.RETRY_AUTHORITY_S));
+              loop.after(Constants.STATE_RETRY_MS, () -> readBackNew(job));
+            }
+          }
+        });
+  }
+
+  /** A job stands in the store that should be known here, when its team is ours. */
+  private void reloadStray(JobSpec stored, Lookup.Found found) {
+    Team team = owned.team(stored.team());
+    if (team != null && team.speaks() && !owned.knows(stored.id())) {
+      Job job =
+          new Job(stored, found.record().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
+      job.revision = found.revision();
+      job.inherit(TaskRanges.read(found.record().path("d")));
+      owned.adopt(team, job);
+      changes.jobFound(job);
+    }
+  }
+
+  /**
+   * Stores a job whose team's owner cannot take it just now: the record alone makes it accepted.
+   * Only the owner ever starts its tasks; a key that all controllers watch tells it of the job.
+   */
+  void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
+    Answer later =
+        Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
+    if (overloaded()) {
+      answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
+      return;
+    }
+    ObjectNode record =
+        new Job(spec, loop.wallMillis(), false, Job.Phase.STORING, loop.nanos())
+            .record(settings.facts().stateValueBytes());
+    ObjectNode marker = Json.object().put("t", spec.team());
+    writer.write(
+        new RecordWriter.Write(
+            absent(spec.id()),
+            List.of(
+                Op.put(JobStore.OPEN + spec.id(), record),
+                Op.put(Share.addedKey(spec.id()), marker)),
+            RecordWriter.Kind.NEW,
+            result -> {
+              if (result.outcome() == Outcome.DONE) {
+                log.info("{} is stored for the owner of team {}", spec.id(), spec.team());
+                answer.accept(
+                    Answer.of(
+                        201, Json.object().put("name_id", spec.id()).put("status", "queued")));
+              } else if (result.outcome() == Outcome.CONFLICT) {
+                lookup.find(
+                    spec.id(),
+                    found ->
+                        answer.accept(
+                            switch (found.kind()) {
+                              case OPEN ->
+                                  Answer.of(200, JobStatus.storedStatus(spec.id(), found.record()));
+                              case FINAL ->
+                                  Answer.of(200, JobStatus.finalStatus(spec.id(), found.state()));
+                              default -> later;
+                            }));
+              } else {
+                answer.accept(later);
+              }
+            }));
+  }
+
+  void takeAllAdded() {
+    Map.copyOf(share.added()).forEach((id, told) -> takeAdded(id, told.team()));
+  }
+
+  /**
+   * Takes up a job that another controller stored for a team of ours, and clears the key that told
+   * of it.
+   */
+  void takeAdded(String id, String teamName) {
+    Team team = owned.team(teamName);
+    if (team == null || !team.speaks()) {
+      return;
+    }
+    Job known = owned.job(id);
+    if (known != null && known.phase() == Job.Phase.STORING) {
+      // Our own write may yet fail, and then the job is forgotten here: it is looked at again.
+      return;
+    }
+    if (known != null || finals.contains(id)) {
+      clearAdded(id);
+      return;
+    }
+    lookup.find(
+        id,
+        found -> {
+          if (owned.team(teamName) != team || !team.speaks()) {
+            return;
+          }
+          switch (found.kind()) {
+            case OPEN -> {
+              reloadStray(JobStore.spec(id, found.record()), found);
+              clearAdded(id);
+            }
+            case FINAL -> clearAdded(id);
+            default -> log.debug("{} cannot be read just now", id);
+          }
+        });
+  }
+
+  /** Every open job in the store of a team of ours is known here; one that is not is taken up. */
+  void audit() {
+    if (!share.holdValid() || owned.ownsNothing()) {
+      return;
+    }
+    store.openJobs(
+        open ->
+            open.forEach(
+                (id, entry) -> {
+                  String team = JobStore.spec(id, entry.value()).team();
+                  if (owned.owns(team) && !owned.knows(id) && !finals.contains(id)) {
+                    log.info("{} of team {} was not known here", id, team);
+                    // The listing may be older than the job's end, so it is read once more.
+                    takeAdded(id, team);
+                  }
+                }));
+  }
+
+  /**
+   * Removes the key that told of the job, as it was seen: carried out late, the removal finds
+   * another or none.
+   */
+  private void clearAdded(String id) {
+    Share.Added told = share.added().get(id);
+    if (told == null) {
+      return;
+    }
+    String key = Share.addedKey(id);
+    writer.write(
+        new RecordWriter.Write(
+            Map.of(key, told.revision()),
+            List.of(Op.remove(key)),
+            RecordWriter.Kind.PROGRESS,
+            result -> {}));
+  }
+}
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -42,7 +42,10 @@
   private static final String PREFIX = "c/";
   private static final String MEMBER = "c/ctl/";
   private static final String LEADER = "c/leader";
-  private static final String TEAMS = "c/teams";
+
+  /** The key on whose revision every record write leans: it changes with the teams' owners. */
+  public static final String TEAMS_KEY = "c/teams";
+
   private static final String MACHINES = "c/machines";
   private static final String PART = "c/machines/";
   private static final String ADDED = "c/new/";
@@ -531,7 +534,7 @@
         added.put(job, told);
         listener.jobAdded(job, told.team());
       }
-    } else if (key.equals(TEAMS) && entry.value() != null) {
+    } else if (key.equals(TEAMS_KEY) && entry.value() != null) {
       takeTeams(Teams.read(entry.value(), entry.revision()));
     }
   }
@@ -776,8 +779,8 @@
     conditions.put(LEADER, leaderRevision);
     List<Op> ops = new ArrayList<>();
     if (!nextTeams.equals(teams)) {
-      conditions.put(TEAMS, teams.revision());
-      ops.add(Op.put(TEAMS, nextTeams.json()));
+      conditions.put(TEAMS_KEY, teams.revision());
+      ops.add(Op.put(TEAMS_KEY, nextTeams.json()));
     }
     if (!changed.isEmpty()) {
       conditions.put(MACHINES, machines.revision());
