Preemption stops gangs as a whole: what stops anyway costs nothing more

The search is a class with state and short methods now.

Reservations that a gang's plan does not use are given back as it starts.

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -441,6 +441,12 @@
    */
   public static final double GANG_GATHER_AFTER_S = 2.0;
 
+  /**
+   * Seconds for which a gang counts as having just come up: it is stopped for others later than one
+   * that runs for longer.
+   */
+  public static final double GANG_SETTLED_S = 30.0;
+
   /**
    * Milliseconds between reserving places for a gang and starting it: by then the other controllers
    * have seen the reservations and start nothing there.
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -942,7 +942,7 @@
       } else if (gang && !preemptor.holdsReservation(job)) {
         preemptor.reserve(team, job, plan);
       } else {
-        job.reservation.clear();
+        preemptor.releaseUnused(team, job, plan);
         carryOut(team, job, plan);
       }
     }
--- a/src/main/java/org/sandford/job/Preemptor.java
+++ b/src/main/java/org/sandford/job/Preemptor.java
@@ -149,6 +149,12 @@
         && loop.millis() - gang.reservedAt < Constants.KEEP_ROOM_MS - Constants.GANG_RESERVE_MS;
   }
 
+  /** The gang starts with this plan: what is kept for it elsewhere is given back. */
+  void releaseUnused(Team team, Job gang, Planner.Plan plan) {
+    plan.slots().forEach(slot -> gang.reservation.remove(slot.room().machine));
+    release(team, gang);
+  }
+
   /** Gives back at once what is kept for a gang that cannot start with it. */
   void release(Team team, Job gang) {
     gang.reservation.forEach((machine, owner) -> ask(team, gang, owner, machine, 0, List.of()));
--- a/src/main/java/org/sandford/job/StoppableTasks.java
+++ b/src/main/java/org/sandford/job/StoppableTasks.java
@@ -48,7 +48,7 @@
     }
     running.forEach(
         v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
-    running.replaceAll(v -> v.losing(gangOf(v).stream().mapToDouble(Victim::lossCpuS).sum()));
+    running.replaceAll(v -> gangOf(v).size() > 1 ? v.losing(gangLoss(gangOf(v))) : v);
     facts
         .teams()
         .forEach(
@@ -77,6 +77,17 @@
     beyondGuarantee.merge(task.team, task.cpus, Double::sum);
   }
 
+  /**
+   * What is lost with a gang. It is told to save, so its age counts only while it has just come up:
+   * stopped then, its start was in vain.
+   */
+  private static double gangLoss(List<Victim> gang) {
+    double cpus = gang.stream().mapToDouble(Victim::cpus).sum();
+    double cpuSeconds = gang.stream().mapToDouble(Victim::lossCpuS).sum();
+    boolean young = cpuSeconds < cpus * Constants.GANG_SETTLED_S;
+    return cpus * Constants.GANG_SETTLED_S * (young ? 2 : 1);
+  }
+
   /**
    * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the gangs
    * of other controllers show in the views as well.
--- a/src/main/java/org/sandford/job/Submissions.java
+++ b/src/main/java/org/sandford/job/Submissions.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.sandford.Constants;
 import org.sandford.core.Answer;
@@ -282,7 +283,7 @@
   }
 
   void takeAllAdded() {
-    Map.copyOf(share.added()).forEach((id, told) -> takeAdded(id, told.team()));
+    new TreeMap<>(share.added()).forEach((id, told) -> takeAdded(id, told.team()));
   }
 
   /**
--- a/src/main/java/org/sandford/peer/PeerLinks.java
+++ b/src/main/java/org/sandford/peer/PeerLinks.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.sandford.Constants;
@@ -160,7 +161,7 @@
         out.end("it is silent");
       }
     }
-    for (In in : Map.copyOf(ins).values()) {
+    for (In in : List.copyOf(ins.values())) {
       if (now - in.heardAt > Constants.PEER_SILENCE_MS) {
         in.end("it is silent");
       }
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -4,10 +4,13 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import org.sandford.Constants;
 
 /**
@@ -32,16 +35,59 @@
       double gpus,
       double ram,
       double lossCpuS) {
+    /**
+     * What stops together: a gang's tasks share their attempt, and those of other jobs never do.
+     */
+    private Group group() {
+      return new Group(job, attempt);
+    }
+
     /** The same task as one of a gang that loses so much. */
     public Victim losing(double gangLossCpuS) {
       return new Victim(machine, team, job, task, attempt, rank, cpus, gpus, ram, gangLossCpuS);
     }
   }
 
+  private record Group(String job, long attempt) {}
+
   /** What is stopped on one machine, and the room that is then kept there for the asking job. */
   public record Eviction(Room room, List<Victim> victims, int tasks) {}
 
-  private Preemption() {}
+  private final Need need;
+  private final Map<Room, double[]> free = new LinkedHashMap<>();
+  private final Map<String, Room> roomOf = new HashMap<>();
+  private final Map<Room, Integer> order = new HashMap<>();
+  private final Map<String, List<Victim>> byMachine = new HashMap<>();
+  private final Map<Group, Set<String>> machinesOf = new HashMap<>();
+
+  /** Groups of which a task is stopped, and so all of them: their other tasks cost nothing more. */
+  private final Set<Group> stopped = new HashSet<>();
+
+  /** The offer of each machine that holds now; the queue has outdated ones as well. */
+  private final Map<Room, Offer> current = new HashMap<>();
+
+  private final PriorityQueue<Offer> offers = new PriorityQueue<>();
+  private final Map<String, Integer> zones;
+  private final Map<Room, Eviction> evictions = new LinkedHashMap<>();
+  private String onlyZone;
+
+  private Preemption(Need need, Collection<Room> rooms, List<Victim> victims) {
+    this.need = need;
+    this.zones = new HashMap<>(need.zonesHeld());
+    this.onlyZone = need.together() ? zones.keySet().stream().findFirst().orElse("") : "";
+    for (Victim victim : victims) {
+      byMachine.computeIfAbsent(victim.machine, m -> new ArrayList<>()).add(victim);
+      machinesOf.computeIfAbsent(victim.group(), g -> new LinkedHashSet<>()).add(victim.machine);
+    }
+    byMachine.values().forEach(this::sort);
+    for (Room room : rooms) {
+      if (need.allows(room)) {
+        order.put(room, free.size());
+        roomOf.put(room.machine, room);
+        free.put(room, freeFor(room));
+      }
+    }
+  }
 
   /**
    * Finds room for {@code count} tasks with the help of victims; null when it cannot be had. Free
@@ -52,76 +98,126 @@
     if (need.together() && need.zone().isEmpty() && need.zonesHeld().isEmpty()) {
       return cheapestZone(need, count, rooms, victims, allOrNone);
     }
-    Map<String, List<Victim>> byMachine = new HashMap<>();
-    for (Victim v : victims) {
-      byMachine.computeIfAbsent(v.machine, m -> new ArrayList<>()).add(v);
-    }
-    byMachine
-        .values()
-        .forEach(
-            list ->
-                list.sort(
-                    Comparator.comparingInt((Victim v) -> -v.rank)
-                        .thenComparingDouble(Victim::lossCpuS)));
-    Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
-    Map<Room, double[]> free = new LinkedHashMap<>();
-    for (Room room : rooms) {
-      if (need.allows(room)) {
-        double[] from = room.keptFrom(need);
-        // What is kept for the job counts as free, even while those who were stopped for it still
-        // leave:
-        // otherwise others would be stopped once more.
-        double[] own = room.keptFor(need);
-        free.put(
-            room,
-            new double[] {
-              Math.max(own[0], room.freeCpus - from[0]),
-              Math.max(own[1], room.freeGpus - from[1]),
-              Math.max(own[2], room.freeRam - from[2])
-            });
-      }
-    }
+    return new Preemption(need, rooms, victims).find(count, allOrNone);
+  }
+
+  private List<Eviction> find(int count, boolean allOrNone) {
     // Only a machine that was chosen changes, so the others' offers are worked out once.
-    PriorityQueue<Offer> offers = new PriorityQueue<>();
-    int order = 0;
-    for (Map.Entry<Room, double[]> e : free.entrySet()) {
-      offer(need, e.getKey(), e.getValue(), byMachine, order++, offers);
-    }
-    Map<Room, Eviction> out = new LinkedHashMap<>();
+    free.keySet().forEach(this::offer);
     int left = count;
-    String together = need.together() ? zones.keySet().stream().findFirst().orElse("") : "";
     while (left > 0 && !offers.isEmpty()) {
       Offer best = offers.poll();
-      Room room = best.room;
-      boolean zoneFits =
-          zones.getOrDefault(room.zone, 0) < need.scatterLimit()
-              && (together.isEmpty() || together.equals(room.zone));
-      if (!zoneFits) {
-        continue;
+      if (best.equals(current.get(best.room)) && zoneFits(best.room.zone)) {
+        take(best);
+        left--;
       }
-      double[] f = free.get(room);
-      for (Victim v : best.stop) {
-        f[0] += v.cpus;
-        f[1] += v.gpus;
-        f[2] += v.ram;
-        byMachine.get(room.machine).remove(v);
+    }
+    boolean useful = allOrNone ? left == 0 : left < count;
+    return useful ? new ArrayList<>(evictions.values()) : null;
+  }
+
+  /** The lowest rank first, and of it the least progress; what stops anyway before all. */
+  private void sort(List<Victim> victims) {
+    victims.sort(
+        Comparator.comparing((Victim v) -> !stopped.contains(v.group()))
+            .thenComparingInt(v -> -v.rank)
+            .thenComparingDouble(Victim::lossCpuS));
+  }
+
+  /**
+   * The free CPUs, accelerators and memory. What is kept for the job counts, even while those who
+   * were stopped for it still leave: otherwise others would be stopped once more.
+   */
+  private double[] freeFor(Room room) {
+    double[] from = room.keptFrom(need);
+    double[] own = room.keptFor(need);
+    return new double[] {
+      Math.max(own[0], room.freeCpus - from[0]),
+      Math.max(own[1], room.freeGpus - from[1]),
+      Math.max(own[2], room.freeRam - from[2])
+    };
+  }
+
+  private boolean zoneFits(String zone) {
+    return zones.getOrDefault(zone, 0) < need.scatterLimit()
+        && (onlyZone.isEmpty() || onlyZone.equals(zone));
+  }
+
+  private void take(Offer offer) {
+    Room room = offer.room;
+    double[] left = free.get(room);
+    left[0] -= need.cpus();
+    left[1] -= need.gpus();
+    left[2] -= need.ram();
+    for (Victim victim : offer.stop) {
+      left[0] += victim.cpus;
+      left[1] += victim.gpus;
+      left[2] += victim.ram;
+      byMachine.get(room.machine).remove(victim);
+    }
+    Eviction had = evictions.getOrDefault(room, new Eviction(room, List.of(), 0));
+    List<Victim> all = new ArrayList<>(had.victims);
+    all.addAll(offer.stop);
+    evictions.put(room, new Eviction(room, all, had.tasks + 1));
+    zones.merge(room.zone, 1, Integer::sum);
+    if (need.together()) {
+      onlyZone = room.zone;
+    }
+    offer.stop.forEach(this::stopGroup);
+    offer(room);
+  }
+
+  /** The other tasks of a gang stop as well, so that their machines have more to offer. */
+  private void stopGroup(Victim victim) {
+    Set<String> machines = machinesOf.get(victim.group());
+    if (stopped.add(victim.group()) && machines.size() > 1) {
+      for (String machine : machines) {
+        sort(byMachine.get(machine));
+        Room room = roomOf.get(machine);
+        if (room != null && !machine.equals(victim.machine)) {
+          offer(room);
+        }
       }
-      f[0] -= need.cpus();
-      f[1] -= need.gpus();
-      f[2] -= need.ram();
-      Eviction had = out.getOrDefault(room, new Eviction(room, List.of(), 0));
-      List<Victim> all = new ArrayList<>(had.victims);
-      all.addAll(best.stop);
-      out.put(room, new Eviction(room, all, had.tasks + 1));
-      zones.merge(room.zone, 1, Integer::sum);
-      if (need.together()) {
-        together = room.zone;
+    }
+  }
+
+  /** Works out anew what one more task on this machine would cost. */
+  private void offer(Room room) {
+    List<Victim> stop = enough(free.get(room), byMachine.getOrDefault(room.machine, List.of()));
+    if (stop == null) {
+      current.remove(room);
+      return;
+    }
+    Offer offer = new Offer(room, stop, loss(stop), order.get(room));
+    current.put(room, offer);
+    offers.add(offer);
+  }
+
+  /** What is lost with these tasks: of each group once, and nothing of those that stop anyway. */
+  private double loss(List<Victim> stop) {
+    Set<Group> counted = new HashSet<>(stopped);
+    return stop.stream().filter(v -> counted.add(v.group())).mapToDouble(Victim::lossCpuS).sum();
+  }
+
+  /** The first victims that make room for one task, or null. */
+  private List<Victim> enough(double[] there, List<Victim> victims) {
+    double[] sum = there.clone();
+    List<Victim> stop = new ArrayList<>();
+    for (Victim victim : victims) {
+      if (holds(sum)) {
+        return stop;
       }
-      left--;
-      offer(need, room, f, byMachine, best.order, offers);
+      stop.add(victim);
+      sum[0] += victim.cpus;
+      sum[1] += victim.gpus;
+      sum[2] += victim.ram;
     }
-    boolean useful = allOrNone ? left == 0 : left < count;
-    return useful ? new ArrayList<>(out.values()) : null;
+    return holds(sum) ? stop : null;
+  }
+
+  private boolean holds(double[] there) {
+    double e = Constants.EPSILON;
+    return need.cpus() <= there[0] + e && need.gpus() <= there[1] + e && need.ram() <= there[2] + e;
   }
 
   /**
@@ -141,16 +237,18 @@
 
   private static boolean isBetter(List<Eviction> one, List<Eviction> other) {
     int byTasks = Integer.compare(tasks(one), tasks(other));
-    return byTasks > 0 || (byTasks == 0 && loss(one) < loss(other));
+    return byTasks > 0 || (byTasks == 0 && totalLoss(one) < totalLoss(other));
   }
 
   private static int tasks(List<Eviction> evictions) {
     return evictions.stream().mapToInt(Eviction::tasks).sum();
   }
 
-  private static double loss(List<Eviction> evictions) {
+  private static double totalLoss(List<Eviction> evictions) {
+    Set<Group> counted = new HashSet<>();
     return evictions.stream()
         .flatMap(e -> e.victims().stream())
+        .filter(v -> counted.add(v.group()))
         .mapToDouble(Victim::lossCpuS)
         .sum();
   }
@@ -164,38 +262,4 @@
       return byLoss != 0 ? byLoss : Integer.compare(order, other.order);
     }
   }
-
-  private static void offer(
-      Need need,
-      Room room,
-      double[] free,
-      Map<String, List<Victim>> byMachine,
-      int order,
-      PriorityQueue<Offer> offers) {
-    List<Victim> stop = enough(need, free, byMachine.getOrDefault(room.machine, List.of()));
-    if (stop != null) {
-      offers.add(new Offer(room, stop, stop.stream().mapToDouble(Victim::lossCpuS).sum(), order));
-    }
-  }
-
-  /** The first victims that make room for one task, or null. */
-  private static List<Victim> enough(Need need, double[] free, List<Victim> victims) {
-    double cpus = free[0];
-    double gpus = free[1];
-    double ram = free[2];
-    List<Victim> stop = new ArrayList<>();
-    double e = Constants.EPSILON;
-    for (Victim v : victims) {
-      if (need.cpus() <= cpus + e && need.gpus() <= gpus + e && need.ram() <= ram + e) {
-        return stop;
-      }
-      stop.add(v);
-      cpus += v.cpus;
-      gpus += v.gpus;
-      ram += v.ram;
-    }
-    return need.cpus() <= cpus + e && need.gpus() <= gpus + e && need.ram() <= ram + e
-        ? stop
-        : null;
-  }
 }
--- a/src/main/java/org/sandford/share/MachinePlanner.java
+++ b/src/main/java/org/sandford/share/MachinePlanner.java
@@ -185,7 +185,7 @@
     numbers.removeAll(splitting);
     for (int number : numbers) {
       Map<String, MachineOwner> before = drafts.getOrDefault(number, stored(number));
-      for (Map.Entry<String, MachineOwner> e : Map.copyOf(new TreeMap<>(before)).entrySet()) {
+      for (Map.Entry<String, MachineOwner> e : new TreeMap<>(before).entrySet()) {
         boolean counts = partOfMachine.getOrDefault(e.getKey(), number) == number;
         String to = counts ? nextOwner(e.getValue(), moves.get(e.getKey())) : null;
         if (to != null) {
--- a/src/test/java/org/sandford/placement/PreemptionTest.java
+++ b/src/test/java/org/sandford/placement/PreemptionTest.java
@@ -22,7 +22,7 @@
   }
 
   private static Victim victim(String machine, int task, int rank, double cpus, double ageS) {
-    return new Victim(machine, "t", "wk-1", task, 1, rank, cpus, 0, 1, cpus * ageS);
+    return new Victim(machine, "t", "wk-1", task, 1 + task, rank, cpus, 0, 1, cpus * ageS);
   }
 
   @Test
@@ -58,6 +58,56 @@
     assertEquals(1, NEED.fitting(room), "one went before, the other after");
   }
 
+  private static Victim ofGang(String machine, int task, double lossCpuS) {
+    return new Victim(machine, "t", "wk-2", task, 7, 2, 4, 0, 1, lossCpuS);
+  }
+
+  @Test
+  void aGangIsStoppedAsAWholeOrNotAtAll() {
+    List<Room> rooms = List.of(full("n0"), full("n1"), full("n2"), full("n3"));
+    List<Victim> victims =
+        List.of(
+            victim("n0", 0, 2, 4, 20),
+            ofGang("n1", 0, 100),
+            victim("n2", 1, 2, 4, 22),
+            ofGang("n3", 1, 100));
+    List<Preemption.Eviction> one = Preemption.choose(NEED, 1, rooms, victims, true);
+    assertEquals("n0", one.get(0).room().machine, "80 for the array, 100 for the gang");
+    List<Preemption.Eviction> two = Preemption.choose(NEED, 2, rooms, victims, true);
+    assertEquals(
+        List.of("n0", "n2"), two.stream().map(e -> e.room().machine).toList(), "taken one by one");
+    List<Preemption.Eviction> four = Preemption.choose(NEED, 4, rooms, victims, true);
+    assertEquals(4, four.size());
+  }
+
+  @Test
+  void theOtherTasksOfAStoppedGangCostNothingMore() {
+    List<Room> rooms = List.of(full("n1"), full("n2"), full("n3"));
+    List<Victim> victims =
+        List.of(ofGang("n1", 0, 100), victim("n2", 1, 2, 4, 26), ofGang("n3", 1, 100));
+    List<Preemption.Eviction> two = Preemption.choose(NEED, 2, rooms, victims, true);
+    assertEquals(List.of("n1", "n3"), two.stream().map(e -> e.room().machine).toList());
+  }
+
+  @Test
+  void aJobThatMustStayTogetherTakesAZoneThatHoldsAll() {
+    Need together =
+        new Need(
+            "wk-9", 1, 50, 4, 0, 1, Set.of(), "", false, true, false, false, true, 2, Map.of(),
+            Set.of(), Set.of(), "");
+    List<Room> rooms = List.of(full("n0"), inZone("n1", "b"), inZone("n2", "b"));
+    List<Victim> victims =
+        List.of(victim("n0", 0, 2, 4, 1), victim("n1", 1, 2, 4, 50), victim("n2", 2, 2, 4, 50));
+    List<Preemption.Eviction> out = Preemption.choose(together, 2, rooms, victims, true);
+    assertEquals(List.of("n1", "n2"), out.stream().map(e -> e.room().machine).sorted().toList());
+  }
+
+  private static Room inZone(String name, String zone) {
+    Room room = new Room(name, "c0", "m", zone, false, true, 8, 0, 64);
+    room.take(8, 0, 8);
+    return room;
+  }
+
   @Test
   void nobodyIsStoppedForAPlanThatFailsAllTheSame() {
     assertNull(
