Only a job that was itself stopped leaves others' guarantees alone

A job beyond its guarantee may stop lower ranks again until it was stopped itself, so that two jobs stop each other once at the most.

--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -134,6 +134,10 @@
   boolean writing;
   boolean started;
   boolean ranOnce;
+
+  /** One of its tasks was stopped although its owner did not ask for that: for another job. */
+  boolean wasPreempted;
+
   final RangeSet<Integer> done = TaskRanges.empty();
   final RangeSet<Integer> waiting = TaskRanges.empty();
   int doneCount;
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -654,6 +654,8 @@
     if (p == null) {
       return;
     }
+    boolean stoppedByOthers = task.cause == ExitCause.STOPPED && p.phase() != TaskPhase.STOPPING;
+    job.wasPreempted |= stoppedByOthers;
     unplace(job, p);
     long pause =
         switch (task.cause) {
--- a/src/main/java/org/sandford/job/StoppableTasks.java
+++ b/src/main/java/org/sandford/job/StoppableTasks.java
@@ -110,12 +110,14 @@
     private final Team team;
     private final int rank;
     private final boolean guaranteed;
+    private final boolean wasPreempted;
     private final Map<String, Double> borrowed = new HashMap<>(beyondGuarantee);
 
     Asker(Team team, Job job) {
       this.team = team;
       this.rank = job.spec.rank().number();
       this.guaranteed = withinGuarantee(team, job);
+      this.wasPreempted = job.wasPreempted;
     }
 
     boolean mayStop(Victim victim) {
@@ -127,13 +129,14 @@
     }
 
     /**
-     * A job beyond its own team's guarantee leaves alone what others run within theirs: they would
-     * stop it in turn, for ever, and neither would come to its end. Services are never stopped in
-     * turn.
+     * A job beyond its own team's guarantee that was stopped itself leaves alone what others run
+     * within theirs: it may just have been stopped for them, and the two would stop each other for
+     * ever. Services are never stopped in turn.
      */
     private boolean mayStopLowerRanks(Victim victim) {
       boolean production = rank == JobSpec.Rank.PRODUCTION.number();
-      return production || guaranteed || isOwn(victim) || takeBorrowed(victim);
+      boolean free = production || guaranteed || !wasPreempted;
+      return free || isOwn(victim) || takeBorrowed(victim);
     }
 
     private boolean isOwn(Victim victim) {
