Drawn meetings and the rule checks include gangs

A gang counts as left waiting only when all its tasks fit the machines and its team's limit at once, and runs only with all its tasks; each check has a test that makes it fail.

--- a/src/test/java/org/sandford/scenario/RandomMeetings.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetings.java
@@ -49,6 +49,7 @@
     for (int i = 0; i < troubles; i++) {
       trouble(Math.min(TROUBLES_UNTIL_S - 30, at + between(0, 15) * i), w);
     }
+    gangs(seed);
     // Whatever went on too long is over by now.
     at(TROUBLES_UNTIL_S + 10, "start all");
     List<Integer> order = new ArrayList<>();
@@ -62,6 +63,29 @@
     return head;
   }
 
+  /**
+   * Adds gangs, drawn apart from all else, so that the rest of a seed's world stays what it was
+   * before there were any.
+   */
+  private void gangs(long seed) {
+    Random own = new Random(~seed);
+    int gangs = 1 + own.nextInt(2);
+    for (int i = 0; i < gangs; i++) {
+      String id = "wk-" + (300 + i);
+      double when = 3 + own.nextDouble() * 140;
+      StringBuilder text = new StringBuilder("submit ").append(id).append(" gang");
+      text.append(own.nextBoolean() ? " team=red" : " team=blue");
+      text.append(" tasks=").append(2 + own.nextInt(4)).append(" cpus=").append(1 + own.nextInt(2));
+      text.append(" run=").append(5 + own.nextInt(50)).append(own.nextBoolean() ? " together" : "");
+      text.append(own.nextBoolean() ? " save=10" : "")
+          .append(own.nextInt(3) == 0 ? " rank=urgent" : "");
+      at(when, text.toString());
+      if (own.nextInt(4) == 0) {
+        at(when + 1 + own.nextDouble() * 30, "abort " + id);
+      }
+    }
+  }
+
   private double between(double from, double to) {
     return from + random.nextDouble() * (to - from);
   }
--- a/src/test/java/org/sandford/scenario/RulesTest.java
+++ b/src/test/java/org/sandford/scenario/RulesTest.java
@@ -1,9 +1,11 @@
 package org.sandford.scenario;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.sandford.core.Json;
 
@@ -88,6 +90,39 @@
     broken("wrong_place", "wrong_place", "wrong_place", "wrong_place");
   }
 
+  @Test
+  void aGangRunsWithAllItsTasks() {
+    Scenario.Submitted gang = job("wk-1");
+    gang.gang = true;
+    gang.tasks = 2;
+    WorkerStandIn machine = machine("a", false);
+    WorkerStandIn.Held first = new WorkerStandIn.Held("wk-1/0", 1, gang);
+    WorkerStandIn.Held again = new WorkerStandIn.Held("wk-1/0", 1, gang);
+    WorkerStandIn.Held second = new WorkerStandIn.Held("wk-1/1", 1, gang);
+    rules.gangRuns(gang, Map.of(first, machine, second, machine));
+    broken();
+    rules.gangRuns(gang, Map.of(first, machine, again, machine));
+    broken("gang");
+  }
+
+  @Test
+  void aGangFitsOnlyWithAllItsTasks() {
+    machine("a", false);
+    machine("b", false);
+    Scenario.Submitted gang = job("wk-1");
+    gang.gang = true;
+    gang.cpus = 2;
+    gang.tasks = 4;
+    assertTrue(scenario.fitsSomewhere(gang), "one machine holds all");
+    gang.together = true;
+    gang.tasks = 5;
+    assertFalse(scenario.fitsSomewhere(gang), "one zone does not hold all");
+    gang.together = false;
+    assertTrue(scenario.fitsSomewhere(gang), "two zones do");
+    gang.tasks = 9;
+    assertFalse(scenario.fitsSomewhere(gang), "its team's limit does not allow all");
+  }
+
   @Test
   void ranCancelled() {
     Scenario.Submitted job = job("wk-1");
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -450,6 +450,9 @@
    * team's limit.
    */
   boolean fitsSomewhere(Submitted job) {
+    if (job.gang) {
+      return gangFits(job);
+    }
     Set<String> on = new HashSet<>();
     Map<String, Integer> byZone = new HashMap<>();
     double team = 0;
@@ -492,6 +495,47 @@
     return false;
   }
 
+  /**
+   * Whether a gang that does not run would find room for all of its tasks at once, and within its
+   * team's limit.
+   */
+  private boolean gangFits(Submitted gang) {
+    Map<String, Integer> places = new HashMap<>();
+    double team = 0;
+    int running = 0;
+    for (CloudStandIn.Rented m : cloud.machines.values()) {
+      if (m.worker == null) {
+        continue;
+      }
+      double used = 0;
+      for (WorkerStandIn.Held task : m.worker.held.values()) {
+        if (task.ended() || task.job == null) {
+          continue;
+        }
+        if (task.job == gang) {
+          running += task.status.equals("running") ? 1 : 0;
+          continue;
+        }
+        used += task.job.cpus;
+        team += task.job.team.equals(gang.team) ? task.job.cpus : 0;
+      }
+      boolean allowed =
+          m.worker.usable()
+              && (!m.spot || gang.spot)
+              && (gang.zone.isEmpty() || gang.zone.equals(m.zone));
+      if (allowed) {
+        places.merge(
+            gang.together ? m.zone : "",
+            (int) Math.floor((8 - used + 1e-9) / gang.cpus),
+            Integer::sum);
+      }
+    }
+    boolean over = gang.finished.size() >= gang.tasks || running == gang.tasks;
+    return !over
+        && team + gang.tasks * gang.cpus <= teamMax.get(gang.team) + 1e-9
+        && places.values().stream().anyMatch(n -> n >= gang.tasks);
+  }
+
   /** The moment at which a job's last task ends: users may meet it. */
   void lastTaskDone(Submitted job) {
     if (cancelsAtEnd && !job.abortAsked) {
