--- a/src/main/java/org/sandford/job/StoppableTasks.java
+++ b/src/main/java/org/sandford/job/StoppableTasks.java
@@ -23,21 +23,12 @@
  * theirs. Services are left alone in the second case.
  */
 final class StoppableTasks {
-  /**
-   * One attempt of a job; what distinguishes gangs from other jobs is that several tasks share one.
-   */
-  private record JobAttempt(String job, long attempt) {
-    static JobAttempt of(Victim victim) {
-      return new JobAttempt(victim.job(), victim.attempt());
-    }
-  }
-
   private final List<Victim> running = new ArrayList<>();
 
   /** CPUs that each team uses beyond its guarantee; negative below it. */
   private final Map<String, Double> beyondGuarantee = new HashMap<>();
 
-  private final Map<JobAttempt, List<Victim>> byAttempt = new HashMap<>();
+  private final Map<String, List<Victim>> gangs = new HashMap<>();
 
   /** Looks through the views of all machines, which costs a step for each task. */
   StoppableTasks(Roster roster, Settings.Facts facts, long now) {
@@ -46,9 +37,7 @@
         seen.view().tasks.forEach(task -> add(seen, task, now));
       }
     }
-    running.forEach(
-        v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
-    running.replaceAll(v -> gangOf(v).size() > 1 ? v.losing(gangLoss(gangOf(v))) : v);
+    findGangs();
     facts
         .teams()
         .forEach(
@@ -56,6 +45,39 @@
                 beyondGuarantee.computeIfPresent(name, (n, used) -> used - limits.cpus()));
   }
 
+  /**
+   * Only tasks of a gang share their attempt, so the gangs of other controllers show in the views
+   * as well. Few tasks are in gangs; the others cost no more than a place in a sorted array.
+   */
+  private void findGangs() {
+    long[] attempts = running.stream().mapToLong(Victim::attempt).sorted().toArray();
+    Set<Long> shared = new HashSet<>();
+    for (int i = 1; i < attempts.length; i++) {
+      if (attempts[i] == attempts[i - 1]) {
+        shared.add(attempts[i]);
+      }
+    }
+    if (shared.isEmpty()) {
+      return;
+    }
+    for (Victim victim : running) {
+      if (shared.contains(victim.attempt())) {
+        gangs.computeIfAbsent(gangName(victim), name -> new ArrayList<>()).add(victim);
+      }
+    }
+    gangs.values().removeIf(tasks -> tasks.size() < 2);
+    running.replaceAll(
+        victim -> {
+          List<Victim> gang =
+              shared.contains(victim.attempt()) ? gangs.get(gangName(victim)) : null;
+          return gang == null ? victim : victim.inGang(gangName(victim), gangLoss(gang));
+        });
+  }
+
+  private static String gangName(Victim victim) {
+    return victim.job() + "@" + victim.attempt();
+  }
+
   private void add(Roster.Seen seen, TaskView task, long now) {
     if (!task.known || task.state == TaskState.EXITED) {
       return;
@@ -88,12 +110,9 @@
     return cpus * Constants.GANG_SETTLED_S * (young ? 2 : 1);
   }
 
-  /**
-   * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the gangs
-   * of other controllers show in the views as well.
-   */
-  private List<Victim> gangOf(Victim victim) {
-    return byAttempt.get(JobAttempt.of(victim));
+  /** The tasks that stop when this one does. */
+  private List<Victim> stopsWith(Victim victim) {
+    return gangs.getOrDefault(victim.gang(), List.of(victim));
   }
 
   /** The tasks that may be stopped for the job, without those that are being stopped already. */
@@ -156,11 +175,11 @@
   /** All that has to be stopped for these evictions, by machine: a gang always as a whole. */
   Map<String, List<Victim>> stopsFor(List<Eviction> evictions) {
     Map<String, List<Victim>> byMachine = new TreeMap<>();
-    Set<JobAttempt> seen = new HashSet<>();
+    Set<String> seen = new HashSet<>();
     for (Eviction eviction : evictions) {
       for (Victim victim : eviction.victims()) {
-        if (seen.add(JobAttempt.of(victim))) {
-          gangOf(victim)
+        if (victim.gang().isEmpty() || seen.add(victim.gang())) {
+          stopsWith(victim)
               .forEach(v -> byMachine.computeIfAbsent(v.machine(), m -> new ArrayList<>()).add(v));
         }
       }
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.sandford.Constants;
 
 /**
@@ -23,6 +24,7 @@
    *
    * @param lossCpuS the processor seconds of work that are lost with it; for a task of a gang,
    *     those of the whole gang, whose other tasks stop with it
+   * @param gang names the gang that stops with it; empty for a task of any other job
    */
   public record Victim(
       String machine,
@@ -34,21 +36,35 @@
       double cpus,
       double gpus,
       double ram,
-      double lossCpuS) {
-    /**
-     * What stops together: a gang's tasks share their attempt, and those of other jobs never do.
-     */
-    private Group group() {
-      return new Group(job, attempt);
+      double lossCpuS,
+      String gang) {
+    private static final String NO_GANG = "";
+
+    /** A task that is no part of a gang. */
+    public Victim(
+        String machine,
+        String team,
+        String job,
+        int task,
+        long attempt,
+        int rank,
+        double cpus,
+        double gpus,
+        double ram,
+        double lossCpuS) {
+      this(machine, team, job, task, attempt, rank, cpus, gpus, ram, lossCpuS, NO_GANG);
     }
 
     /** The same task as one of a gang that loses so much. */
-    public Victim losing(double gangLossCpuS) {
-      return new Victim(machine, team, job, task, attempt, rank, cpus, gpus, ram, gangLossCpuS);
+    public Victim inGang(String name, double gangLossCpuS) {
+      return new Victim(
+          machine, team, job, task, attempt, rank, cpus, gpus, ram, gangLossCpuS, name);
     }
-  }
 
-  private record Group(String job, long attempt) {}
+    boolean isInGang() {
+      return !gang.isEmpty();
+    }
+  }
 
   /** What is stopped on one machine, and the room that is then kept there for the asking job. */
   public record Eviction(Room room, List<Victim> victims, int tasks) {}
@@ -58,10 +74,10 @@
   private final Map<String, Room> roomOf = new HashMap<>();
   private final Map<Room, Integer> order = new HashMap<>();
   private final Map<String, List<Victim>> byMachine = new HashMap<>();
-  private final Map<Group, Set<String>> machinesOf = new HashMap<>();
+  private final Map<String, Set<String>> machinesOf = new HashMap<>();
 
-  /** Groups of which a task is stopped, and so all of them: their other tasks cost nothing more. */
-  private final Set<Group> stopped = new HashSet<>();
+  /** Gangs of which a task is stopped, and so all of them: their other tasks cost nothing more. */
+  private final Set<String> stopped = new HashSet<>();
 
   /** The offer of each machine that holds now; the queue has outdated ones as well. */
   private final Map<Room, Offer> current = new HashMap<>();
@@ -77,7 +93,9 @@
     this.onlyZone = need.together() ? zones.keySet().stream().findFirst().orElse("") : "";
     for (Victim victim : victims) {
       byMachine.computeIfAbsent(victim.machine, m -> new ArrayList<>()).add(victim);
-      machinesOf.computeIfAbsent(victim.group(), g -> new LinkedHashSet<>()).add(victim.machine);
+      if (victim.isInGang()) {
+        machinesOf.computeIfAbsent(victim.gang, g -> new LinkedHashSet<>()).add(victim.machine);
+      }
     }
     byMachine.values().forEach(this::sort);
     for (Room room : rooms) {
@@ -119,7 +137,7 @@
   /** The lowest rank first, and of it the least progress; what stops anyway before all. */
   private void sort(List<Victim> victims) {
     victims.sort(
-        Comparator.comparing((Victim v) -> !stopped.contains(v.group()))
+        Comparator.comparing((Victim v) -> !(v.isInGang() && stopped.contains(v.gang)))
             .thenComparingInt(v -> -v.rank)
             .thenComparingDouble(Victim::lossCpuS));
   }
@@ -169,9 +187,8 @@
 
   /** The other tasks of a gang stop as well, so that their machines have more to offer. */
   private void stopGroup(Victim victim) {
-    Set<String> machines = machinesOf.get(victim.group());
-    if (stopped.add(victim.group()) && machines.size() > 1) {
-      for (String machine : machines) {
+    if (victim.isInGang() && stopped.add(victim.gang)) {
+      for (String machine : machinesOf.get(victim.gang)) {
         sort(byMachine.get(machine));
         Room room = roomOf.get(machine);
         if (room != null && !machine.equals(victim.machine)) {
@@ -195,8 +212,7 @@
 
   /** What is lost with these tasks: of each group once, and nothing of those that stop anyway. */
   private double loss(List<Victim> stop) {
-    Set<Group> counted = new HashSet<>(stopped);
-    return stop.stream().filter(v -> counted.add(v.group())).mapToDouble(Victim::lossCpuS).sum();
+    return lossOf(stop.stream(), new HashSet<>(stopped));
   }
 
   /** The first victims that make room for one task, or null. */
@@ -245,10 +261,13 @@
   }
 
   private static double totalLoss(List<Eviction> evictions) {
-    Set<Group> counted = new HashSet<>();
-    return evictions.stream()
-        .flatMap(e -> e.victims().stream())
-        .filter(v -> counted.add(v.group()))
+    return lossOf(evictions.stream().flatMap(e -> e.victims().stream()), new HashSet<>());
+  }
+
+  /** The sum of what is lost, without the gangs that are counted already; a gang counts once. */
+  private static double lossOf(Stream<Victim> victims, Set<String> counted) {
+    return victims
+        .filter(v -> !v.isInGang() || counted.add(v.gang))
         .mapToDouble(Victim::lossCpuS)
         .sum();
   }
--- a/src/test/java/org/sandford/placement/PreemptionTest.java
+++ b/src/test/java/org/sandford/placement/PreemptionTest.java
@@ -59,7 +59,7 @@
   }
 
   private static Victim ofGang(String machine, int task, double lossCpuS) {
-    return new Victim(machine, "t", "wk-2", task, 7, 2, 4, 0, 1, lossCpuS);
+    return new Victim(machine, "t", "wk-2", task, 7, 2, 4, 0, 1, 0).inGang("wk-2@7", lossCpuS);
   }
 
   @Test
