Stops are built in one place; looks at gangs end at once for other jobs

Three places in Jobs built the same StopTask, and two in Preemptor asked to keep a slot's room. Every change of a task looked up its team and the hold before it was known whether its job is a gang at all.

--- a/src/main/java/org/sandford/job/Gangs.java
+++ b/src/main/java/org/sandford/job/Gangs.java
@@ -50,7 +50,7 @@
    * concluded from their absence.
    */
   void look(Job job, boolean placesKnown) {
-    if (!job.spec.gang() || job.phase() != Job.Phase.OPEN) {
+    if (job.phase() != Job.Phase.OPEN) {
       return;
     }
     if (job.allDone()) {
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -358,14 +358,14 @@
   // -------------------------------------------------------------------------------------------
 
   private void lookAtGangs() {
-    for (Job job : List.copyOf(jobs.values())) {
-      if (job.spec.gang()) {
-        lookAtGang(job);
-      }
-    }
+    List.copyOf(jobs.values()).forEach(this::lookAtGang);
   }
 
+  /** Called for every change of a task, of which most are no gang's. */
   private void lookAtGang(Job job) {
+    if (!job.spec.gang()) {
+      return;
+    }
     Team team = teams.get(job.spec.team());
     if (team != null && share.holdValid()) {
       boolean placesKnown = !job.inherited || team.phase() == Team.Phase.READY;
@@ -524,16 +524,7 @@
       return;
     }
     if (job.isDone(task.task) && !mine) {
-      ask(
-          view,
-          new StopTask(
-              job.spec.team(),
-              generation(job),
-              view.machine,
-              job.spec.id(),
-              task.task,
-              task.attempt,
-              0));
+      ask(view, stopOf(job, view.machine, task.task, task.attempt, 0));
       return;
     }
     if (p == null) {
@@ -565,16 +556,7 @@
           task.attempt,
           p.attempt,
           p.machine);
-      ask(
-          view,
-          new StopTask(
-              job.spec.team(),
-              generation(job),
-              view.machine,
-              job.spec.id(),
-              task.task,
-              task.attempt,
-              0));
+      ask(view, stopOf(job, view.machine, task.task, task.attempt, 0));
       return;
     }
     p.becomes(
@@ -611,6 +593,11 @@
     lookAtGang(job);
   }
 
+  private StopTask stopOf(Job job, String machine, int task, long attempt, int graceS) {
+    return new StopTask(
+        job.spec.team(), generation(job), machine, job.spec.id(), task, attempt, graceS);
+  }
+
   private long generation(Job job) {
     return teams.get(job.spec.team()).generation;
   }
@@ -696,16 +683,7 @@
   private void stop(Job job, Placed p, int graceS) {
     MachineOwner place = share.machines().of().get(p.machine);
     if (place != null) {
-      links.ask(
-          Share.labelOf(place.owner()),
-          new StopTask(
-              job.spec.team(),
-              generation(job),
-              p.machine,
-              job.spec.id(),
-              p.task,
-              p.attempt,
-              graceS));
+      links.ask(Share.labelOf(place.owner()), stopOf(job, p.machine, p.task, p.attempt, graceS));
     }
     if (p.phase() != TaskPhase.REQUESTED) {
       p.becomes(TaskPhase.STOPPING, loop.nanos());
--- a/src/main/java/org/sandford/job/Preemptor.java
+++ b/src/main/java/org/sandford/job/Preemptor.java
@@ -122,9 +122,7 @@
     reserveAgainAt = roundAt + Constants.GATHER_MS;
     Planner.Plan plan = planner.place(job.need(), count, free, false);
     if (plan != null) {
-      for (Planner.Slot slot : plan.slots()) {
-        ask(team, job, slot.room().owner, slot.room().machine, slot.tasks(), List.of());
-      }
+      plan.slots().forEach(slot -> keep(team, job, slot));
     }
   }
 
@@ -137,12 +135,15 @@
     gang.reservedAt = loop.millis();
     gang.notBefore = Math.max(gang.notBefore, gang.reservedAt + Constants.GANG_RESERVE_MS);
     for (Planner.Slot slot : plan.slots()) {
-      Room room = slot.room();
-      gang.reservation.put(room.machine, room.owner);
-      ask(team, gang, room.owner, room.machine, slot.tasks(), List.of());
+      gang.reservation.put(slot.room().machine, slot.room().owner);
+      keep(team, gang, slot);
     }
   }
 
+  private void keep(Team team, Job job, Planner.Slot slot) {
+    ask(team, job, slot.room().owner, slot.room().machine, slot.tasks(), List.of());
+  }
+
   /** Whether places are kept for the gang still. */
   boolean holdsReservation(Job gang) {
     return !gang.reservation.isEmpty()
