--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -71,9 +71,24 @@
   /** Share of the store's value limit up to which a part of the map is filled; tables take the rest. */
   public static final double MAP_PART_FILL = 0.8;
 
+  /** Share of the store's value limit above which a part of the map is split: new owners make it a little larger. */
+  public static final double MAP_SPLIT_SHARE = 0.9;
+
   /** Milliseconds between two moves: the shares' owners report their room in between. */
   public static final int MOVE_PAUSE_MS = 4_000;
 
+  /**
+   * The version of stored records that this program reads and writes. 1 knows arrays and services only and is not
+   * announced; 2 knows gangs.
+   */
+  public static final int RECORD_VERSION = 2;
+
+  /** The first version of records in which a job may be a gang. */
+  public static final int RECORD_VERSION_GANGS = 2;
+
+  /** Milliseconds between two looks at the versions that the controllers announced, until all know this one. */
+  public static final int VERSIONS_LOOK_MS = 2_000;
+
   // --- state service ------------------------------------------------------------------------------
 
   /** Share of the store's rates one controller allows itself; bursts of one rarely meet the others'. */
@@ -295,6 +310,35 @@
   /** Milliseconds between two replicas that one controller moves: each is down for a moment. */
   public static final int MOVE_REPLICA_MS = 1_500;
 
+  // --- gangs -------------------------------------------------------------------------------------------------
+
+  /** Seconds a gang's task waits for the others when the facts say nothing: the usual setting. */
+  public static final double DEFAULT_GANG_WAIT_S = 30.0;
+
+  /** Seconds within which a gang's tasks notice that one is gone when the facts say nothing. */
+  public static final double DEFAULT_GANG_PEER_S = 8.0;
+
+  /**
+   * Share of {@code gang_wait_s} after which a gang that does not run yet is withdrawn: its tasks would exit one
+   * by one soon after, and occupy their machines until then.
+   */
+  public static final double GANG_START_SHARE = 0.8;
+
+  /** Seconds, beyond the grace, for an orderly stop of a gang before its tasks are stopped at once. */
+  public static final double GANG_STOP_EXTRA_S = 2.0;
+
+  /** Milliseconds of the first pause after a gang's attempt that never ran; it doubles per failure in a row. */
+  public static final int GANG_BACKOFF_MS = 300;
+
+  /** Milliseconds of the longest such pause: users wait for the gang. */
+  public static final int GANG_BACKOFF_MAX_MS = 5_000;
+
+  /** Milliseconds between two looks at gangs that have places: for late starts and stops to repeat. */
+  public static final int GANG_LOOK_MS = 500;
+
+  /** Seconds after which a gang that waits has free room kept for it; it needs all of it at once. */
+  public static final double GANG_GATHER_AFTER_S = 2.0;
+
   // --- placement -----------------------------------------------------------------------------------------------
 
   /** Weight of the plan's cost against fitness; the design's starting value. */
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -23,6 +23,7 @@
 import org.sandford.peer.wire.UserCall;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.TeamOwner;
+import org.sandford.share.MemberVersions;
 import org.sandford.share.Share;
 
 /**
@@ -46,6 +47,7 @@
   private final Lookup lookup;
   private final Capacity capacity;
   private final Cancellations cancellations;
+  private final MemberVersions versions;
   private final Map<Long, Forwarded> forwarded = new HashMap<>();
   private final Histogram submitMillis = new Histogram(60_000, 2);
   private long calls;
@@ -60,7 +62,8 @@
       Finals finals,
       Lookup lookup,
       Capacity capacity,
-      Cancellations cancellations) {
+      Cancellations cancellations,
+      MemberVersions versions) {
     this.loop = loop;
     this.settings = settings;
     this.share = share;
@@ -71,6 +74,7 @@
     this.lookup = lookup;
     this.capacity = capacity;
     this.cancellations = cancellations;
+    this.versions = versions;
   }
 
   /** Times from a submission's arrival here to its answer, in milliseconds. */
@@ -148,6 +152,10 @@
         return;
       }
       JobParser.checkRunnable(spec, settings.facts().teams(), capacity.flavors());
+      if (spec.gang() && !versions.allKnowGangs()) {
+        answer.accept(Answer.later(503, "not all controllers know gangs yet", Constants.RETRY_OVERLOAD_S));
+        return;
+      }
     } catch (JobParser.Refused refused) {
       refuse(JobParser.idOf(body), refused, answer);
       return;
--- a/src/main/java/org/sandford/api/JobParser.java
+++ b/src/main/java/org/sandford/api/JobParser.java
@@ -117,11 +117,12 @@
     return at.asBoolean();
   }
 
-  private static boolean shape(JsonNode body) throws Refused {
+  private static JobSpec.Shape shape(JsonNode body) throws Refused {
     return switch (text(body, "shape")) {
-      case "array" -> false;
-      case "standing" -> true;
-      default -> throw new Refused(400, "shape: expected array or standing");
+      case "array" -> JobSpec.Shape.ARRAY;
+      case "standing" -> JobSpec.Shape.SERVICE;
+      case "ensemble" -> JobSpec.Shape.GANG;
+      default -> throw new Refused(400, "shape: expected array, standing or ensemble");
     };
   }
 
@@ -160,12 +161,13 @@
     if (!fits) {
       throw new Refused(422, "a task of this size fits no machine type that the job allows");
     }
-    int atOnce = job.standing() ? job.tasks() : 1;
+    boolean allAtOnce = job.shape() != JobSpec.Shape.ARRAY;
+    int atOnce = allAtOnce ? job.tasks() : 1;
     double e = Constants.EPSILON;
     if (atOnce * job.cpus() > team.cpusMax() + e || atOnce * job.gpus() > team.gpusMax() + e) {
       throw new Refused(
           422,
-          (job.standing() ? "all tasks together need" : "one task needs")
+          (allAtOnce ? "all tasks together need" : "one task needs")
               + " more than the limit of team " + team.name()
               + " (" + team.cpusMax() + " CPUs, " + team.gpusMax() + " accelerators)");
     }
--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -582,7 +582,7 @@
 
   private static Need need(DemandClass d) {
     return new Need(
-        "", d.rank, 0, d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing,
+        "", d.rank, 0, d.cpus, d.gpus, d.ram, Set.copyOf(d.kinds), d.zone, d.reclaimable, d.together, d.scatter, d.standing, false,
         d.total, d.held, Set.of(), Set.of(), "");
   }
 
@@ -597,7 +597,7 @@
     int machines = share.machines().of().size() + share.adding().size() + hires.values().stream().mapToInt(h -> h.number).sum();
     int most = settings.operators().maxMachines() - machines;
     for (DemandClass d : demandNow(now)) {
-      Need need = need(d);
+      Need need = inItsZone(need(d), d.tasks, rooms, crowd, now);
       int left = d.tasks - fill(need, d.tasks, rooms);
       while (left > 0 && most > 0) {
         Pool pool = cheapest(need, left, crowd, now);
@@ -620,7 +620,7 @@
     }
     if (wanted.isEmpty()) {
       // Ordinary machines, since the work that may wait least runs on no others.
-      Need any = new Need("", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
+      Need any = new Need("", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, false, 1, Map.of(), Set.of(), Set.of(), "");
       while (free < Constants.HEADROOM_SHARE * total && most > 0) {
         Pool pool = cheapest(any, 4, crowd, now);
         if (pool == null) {
@@ -644,28 +644,47 @@
     return fresh;
   }
 
+  /**
+   * The need of a job whose tasks must be together, with the one zone in which it is supplied: the one that it has, or
+   * the one with the most room in which the rest can be rented. What is rented in several zones would stand idle.
+   */
+  private Need inItsZone(Need need, int count, List<Room> rooms, Map<String, Double> crowd, long now) {
+    if (!need.together() || !need.zone().isEmpty()) {
+      return need;
+    }
+    if (!need.zonesHeld().isEmpty()) {
+      return need.in(need.zonesHeld().keySet().iterator().next());
+    }
+    Map<String, Integer> fits = new TreeMap<>();
+    flavors.values().forEach(flavor -> flavor.zones().forEach(zone -> fits.put(zone, 0)));
+    for (Room room : rooms) {
+      if (need.allows(room)) {
+        fits.merge(room.zone, Math.min(count, need.fitting(room)), Integer::sum);
+      }
+    }
+    List<String> zones = new ArrayList<>(fits.keySet());
+    zones.sort(Comparator.comparingInt((String zone) -> -fits.get(zone)));
+    for (String zone : zones) {
+      int left = count - fits.get(zone);
+      if (left <= 0 || cheapest(need.in(zone), left, crowd, now) != null) {
+        return need.in(zone);
+      }
+    }
+    return zones.isEmpty() ? need : need.in(zones.get(0));
+  }
+
   /**
    * Fills the rooms with up to {@code count} tasks and returns how many found one. It only tells what
    * has to be rented, so it does without the score: a look at each room for a whole class.
    */
   private int fill(Need need, int count, List<Room> rooms) {
-    String zone = need.zone();
-    if (need.together() && zone.isEmpty()) {
-      Map<String, Integer> fits = new TreeMap<>();
-      for (Room room : rooms) {
-        if (need.allows(room)) {
-          fits.merge(room.zone, Math.min(count, need.fitting(room)), Integer::sum);
-        }
-      }
-      zone = fits.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey).orElse("");
-    }
     Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
     int left = count;
     for (Room room : rooms) {
       if (left == 0) {
         break;
       }
-      if (!need.allows(room) || !(zone.isEmpty() || zone.equals(room.zone))) {
+      if (!need.allows(room)) {
         continue;
       }
       int most = Math.min(left, need.scatterLimit() - zones.getOrDefault(room.zone, 0));
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -38,6 +38,7 @@
 import org.sandford.peer.wire.Yield;
 import org.sandford.peer.wire.Yielded;
 import org.sandford.settings.Settings;
+import org.sandford.share.MemberVersions;
 import org.sandford.share.Share;
 import org.sandford.state.RecordWriter;
 import org.sandford.state.StateClient;
@@ -58,6 +59,7 @@
   private final Finals finals;
   private final Cancellations cancellations;
   private final Capacity capacity;
+  private final MemberVersions versions;
   private final Api api;
   private MapKnown mapKnown = new MapKnown(0L, 0L);
 
@@ -81,7 +83,8 @@
             loop, settings, share, links, roster,
             new RecordWriter(loop, state, facts.stateTxnOps()), store, finals, lookup, this::flavor);
     capacity = new Capacity(loop, settings, share, cloud, links, roster, jobs::demand);
-    api = new Api(loop, settings, share, links, jobs, fleet, finals, lookup, capacity, cancellations);
+    versions = new MemberVersions(loop, settings, state);
+    api = new Api(loop, settings, share, links, jobs, fleet, finals, lookup, capacity, cancellations, versions);
   }
 
   private org.sandford.cloud.Flavor flavor(String kind) {
@@ -92,6 +95,7 @@
   public void start() {
     log.info("controller {} in zone {} starts", settings.label(), settings.zone());
     share.start(this);
+    versions.start();
     links.start(this, this);
     cancellations.start(this::cancelled);
     fleet.start();
--- /dev/null
+++ b/src/main/java/org/sandford/job/Gang.java
@@ -0,0 +1,76 @@
+package org.sandford.job;
+
+/**
+ * The state of one gang, a job whose tasks all run at the same time or none does. A gang runs in attempts: all tasks
+ * of one attempt carry the same number, by which the workers match them, and the next attempt begins only when every
+ * task of the former is surely gone from its machine.
+ *
+ * <p>It holds state only; {@link Gangs} decides when it changes.
+ */
+final class Gang {
+  /** The states of a gang's attempt. */
+  enum Phase {
+    /** No attempt is under way; the gang waits for places for all of its tasks at once. */
+    WAITING,
+    /** Starts went out; not all were accepted by the machines' owners. */
+    STARTING,
+    /** All starts were accepted; tasks fetch their image or wait for the others. */
+    GATHERING,
+    /** All tasks run. */
+    RUNNING,
+    /** All tasks were told to save and to stop. */
+    STOPPING,
+    /** The attempt is over; what is left of it is stopped at once, and its places are still held. */
+    DRAINING,
+    /** All tasks are done. */
+    DONE
+  }
+
+  private Phase phase = Phase.WAITING;
+  private long since;
+  private boolean ran;
+  private int failuresInRow;
+
+  Phase phase() {
+    return phase;
+  }
+
+  /** When it came to the present phase, on the steady clock in nanoseconds. */
+  long since() {
+    return since;
+  }
+
+  /** Attempts in a row that ended before all tasks ran. */
+  int failuresInRow() {
+    return failuresInRow;
+  }
+
+  /** Whether an attempt is under way whose tasks do not all run yet. */
+  boolean comingUp() {
+    return phase == Phase.STARTING || phase == Phase.GATHERING;
+  }
+
+  /** The one place where the phase changes; false when it is the present one. */
+  boolean becomes(Phase next, long now) {
+    if (phase == Phase.DONE && next != Phase.DONE) {
+      throw new IllegalStateException("a gang that is done cannot become " + next);
+    }
+    if (phase == next) {
+      return false;
+    }
+    switch (next) {
+      case STARTING -> ran = false;
+      case RUNNING -> {
+        ran = true;
+        failuresInRow = 0;
+      }
+      case WAITING -> failuresInRow += ran ? 0 : 1;
+      default -> {
+        // The other phases carry nothing but their time.
+      }
+    }
+    phase = next;
+    since = now;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/job/Gangs.java
@@ -0,0 +1,157 @@
+package org.sandford.job;
+
+import java.util.List;
+import org.sandford.Constants;
+import org.sandford.core.Loop;
+import org.sandford.job.Gang.Phase;
+import org.sandford.job.Job.Placed;
+import org.sandford.job.Job.TaskPhase;
+import org.sandford.settings.Settings;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps the gangs of this controller's teams whole. It looks at a gang whenever something of its tasks changed, and
+ * regularly, and withdraws an attempt that cannot be completed: a start that was refused, a task that is gone, tasks
+ * of two attempts after a change of owner, or an attempt that does not come up in time.
+ *
+ * <p>Whatever is left of an attempt is stopped, again and again until it is gone, before the gang may be planned
+ * anew. So a task is never started beside itself, and a gang never consists of tasks of two attempts.
+ */
+final class Gangs {
+  private static final Logger log = LoggerFactory.getLogger(Gangs.class);
+
+  /** How a task is told to stop. */
+  interface Stops {
+    void stop(Job job, Placed task, int graceS);
+  }
+
+  private final Loop loop;
+  private final Settings.Facts facts;
+  private final Stops stops;
+
+  Gangs(Loop loop, Settings.Facts facts, Stops stops) {
+    this.loop = loop;
+    this.facts = facts;
+    this.stops = stops;
+  }
+
+  /** Places for all tasks were found and their starts went out. */
+  void started(Job job) {
+    enter(job, Phase.STARTING, "has places for all tasks");
+    look(job, true);
+  }
+
+  /**
+   * Brings the gang's phase in line with where its tasks are. While {@code placesKnown} is false, right after a change
+   * of owner, tasks that were not found yet may be anywhere, and nothing is concluded from their absence.
+   */
+  void look(Job job, boolean placesKnown) {
+    if (!job.spec.gang() || job.phase() != Job.Phase.OPEN) {
+      return;
+    }
+    if (job.allDone()) {
+      enter(job, Phase.DONE, "is done");
+      return;
+    }
+    switch (job.gang.phase()) {
+      case WAITING -> lookAtFound(job, placesKnown);
+      case STARTING, GATHERING, RUNNING -> lookAtAttempt(job, placesKnown);
+      case STOPPING -> lookAtOrderlyStop(job);
+      case DRAINING -> drain(job);
+      case DONE -> {
+        // Nothing more happens to it.
+      }
+    }
+  }
+
+  /** Stops all tasks so that they save together: each must hear of it soon after the first. */
+  void stopInOrder(Job job, int graceS) {
+    if (job.gang.phase() != Phase.RUNNING) {
+      return;
+    }
+    enter(job, Phase.STOPPING, "is stopped in order");
+    job.placed().forEach(task -> stops.stop(job, task, graceS));
+  }
+
+  /** Tasks that a former owner started were found, or nothing is on any machine. */
+  private void lookAtFound(Job job, boolean placesKnown) {
+    if (job.holding() == 0 || !placesKnown) {
+      return;
+    }
+    enter(job, Phase.GATHERING, "was found on its machines");
+    lookAtAttempt(job, true);
+  }
+
+  private void lookAtAttempt(Job job, boolean placesKnown) {
+    if (placesKnown && !complete(job)) {
+      withdraw(job, "has lost a task");
+      return;
+    }
+    if (job.running() == job.spec.tasks()) {
+      enter(job, Phase.RUNNING, "runs");
+      return;
+    }
+    if (job.gang.phase() == Phase.STARTING && allAccepted(job)) {
+      enter(job, Phase.GATHERING, "gathers");
+    }
+    if (job.gang.comingUp() && secondsIn(job) > facts.gangWaitS() * Constants.GANG_START_SHARE) {
+      withdraw(job, "did not come up in time");
+    }
+  }
+
+  private void lookAtOrderlyStop(Job job) {
+    if (job.holding() == 0) {
+      drained(job);
+    } else if (secondsIn(job) > facts.gangPeerS() + job.spec.saveCostS() + Constants.GANG_STOP_EXTRA_S) {
+      withdraw(job, "does not stop in order");
+    }
+  }
+
+  private void withdraw(Job job, String why) {
+    enter(job, Phase.DRAINING, why);
+    drain(job);
+  }
+
+  private void drain(Job job) {
+    List<Placed> left = job.placed();
+    if (left.isEmpty()) {
+      drained(job);
+    } else {
+      left.forEach(task -> stops.stop(job, task, 0));
+    }
+  }
+
+  /** Every task is surely gone, so the next attempt may begin, after a pause if the last one never ran. */
+  private void drained(Job job) {
+    enter(job, Phase.WAITING, "waits for places");
+    int failures = job.gang.failuresInRow();
+    if (failures > 0) {
+      long doubled = (long) Constants.GANG_BACKOFF_MS << Math.min(failures - 1, 10);
+      long pause = Math.min(doubled, Constants.GANG_BACKOFF_MAX_MS);
+      job.notBefore = Math.max(job.notBefore, loop.millis() + pause);
+    }
+  }
+
+  private void enter(Job job, Phase next, String why) {
+    Phase before = job.gang.phase();
+    if (job.gang.becomes(next, loop.nanos())) {
+      log.debug("gang {}: {} -> {}: it {}", job.spec.id(), before, next, why);
+    }
+  }
+
+  /** Whether all tasks have a place, under one attempt. */
+  private static boolean complete(Job job) {
+    List<Placed> placed = job.placed();
+    return placed.size() == job.spec.tasks()
+        && placed.stream().allMatch(task -> task.attempt == placed.get(0).attempt);
+  }
+
+  private static boolean allAccepted(Job job) {
+    return job.placed().stream().noneMatch(task -> task.phase() == TaskPhase.REQUESTED);
+  }
+
+  private double secondsIn(Job job) {
+    return (loop.nanos() - job.gang.since()) / 1e9;
+  }
+}
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -106,6 +106,8 @@
 
   final JobSpec spec;
   final LikeTasks like;
+  /** The state of a gang's attempts; jobs of other shapes never leave its first phase. */
+  final Gang gang = new Gang();
   final long acceptedAt;
   /** It was loaded from the store: an earlier owner may have started its tasks. */
   final boolean inherited;
@@ -170,11 +172,15 @@
   }
 
   boolean runnable() {
+    if (spec.gang()) {
+      // The next attempt begins only when all of the former is surely gone.
+      return phase == Phase.OPEN && gang.phase() == Gang.Phase.WAITING && waitingCount == spec.tasks();
+    }
     return phase == Phase.OPEN && waitingCount > 0;
   }
 
   boolean allDone() {
-    return !spec.standing() && doneCount == spec.tasks();
+    return !spec.service() && doneCount == spec.tasks();
   }
 
   void inherit(RangeSet<Integer> finished) {
@@ -218,6 +224,13 @@
     }
   }
 
+  /** The tasks of a gang complete together: one that is done proves the others done. */
+  void finishGang() {
+    for (int task = 0; task < spec.tasks(); task++) {
+      finish(task);
+    }
+  }
+
   void finish(int task) {
     if (!isDone(task)) {
       if (waiting.contains(task)) {
@@ -265,7 +278,8 @@
         spec.reclaimable(),
         spec.together(),
         spec.scatter(),
-        spec.standing(),
+        spec.service(),
+        spec.gang(),
         spec.tasks(),
         zones,
         machines,
@@ -299,7 +313,9 @@
             .put("status", state)
             .put("done", doneCount)
             .put("running", running());
-    if (!phase.over() && waitingCount > 0 && waitReason != WaitReason.NONE) {
+    if (!phase.over() && gang.comingUp()) {
+      node.put("reason", new WaitReason.GangComesUp(spec.tasks() - running(), spec.tasks()).text());
+    } else if (!phase.over() && waitingCount > 0 && waitReason != WaitReason.NONE) {
       node.put("reason", waitReason.text());
     } else if (!phase.over() && !lastFailure.isEmpty()) {
       node.put("reason", lastFailure);
--- a/src/main/java/org/sandford/job/JobSpec.java
+++ b/src/main/java/org/sandford/job/JobSpec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.Set;
 import java.util.TreeSet;
+import org.sandford.Constants;
 import org.sandford.core.Json;
 
 /** What a user submitted, checked, in the scheduler's own terms. */
@@ -11,7 +12,7 @@
     String id,
     String jobClass,
     String team,
-    boolean standing,
+    Shape shape,
     Rank rank,
     int tasks,
     double cpus,
@@ -29,6 +30,26 @@
     double saveCostS,
     double dueS) {
 
+  /** How the tasks of a job belong together. Records name the shape by its place here. */
+  public enum Shape {
+    /** Independent tasks, each of which runs to completion. */
+    ARRAY,
+    /** Replicas that run until the job is cancelled. */
+    SERVICE,
+    /** Tasks that all run at the same time, or none does. Known from {@link Constants#RECORD_VERSION_GANGS} on. */
+    GANG
+  }
+
+  /** Whether it is a service, whose replicas run until it is cancelled. */
+  public boolean service() {
+    return shape == Shape.SERVICE;
+  }
+
+  /** Whether all of its tasks run at the same time or none does. */
+  public boolean gang() {
+    return shape == Shape.GANG;
+  }
+
   /** Priorities; the earlier go first. */
   public enum Rank {
     PRODUCTION,
@@ -43,7 +64,7 @@
         Json.object()
             .put("c", jobClass)
             .put("t", team)
-            .put("k", standing ? 1 : 0)
+            .put("k", shape.ordinal())
             .put("r", rank.ordinal())
             .put("n", tasks)
             .put("cpu", cpus)
@@ -72,7 +93,7 @@
         id,
         n.path("c").asText(),
         n.path("t").asText(),
-        n.path("k").asInt() == 1,
+        Shape.values()[n.path("k").asInt()],
         Rank.values()[n.path("r").asInt()],
         n.path("n").asInt(),
         n.path("cpu").asDouble(),
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -73,6 +73,7 @@
   private final Map<String, Team> teams = new TreeMap<>();
   private final Map<String, Job> jobs = new HashMap<>();
   private final RoomBook rooms;
+  private final Gangs gangs;
   private final Map<String, Integer> linkRounds = new HashMap<>();
   private final Map<Attempt, Long> preempted = new HashMap<>();
   /** The machines of the map as they were looked at last. */
@@ -108,6 +109,7 @@
     this.store = store;
     this.finals = finals;
     this.lookup = lookup;
+    this.gangs = new Gangs(loop, settings.facts(), this::stop);
     this.rooms = new RoomBook(roster, share, links, settings.label(), flavors);
   }
 
@@ -115,6 +117,7 @@
     loop.every(Constants.PLAN_IDLE_MS, this::planSoon);
     loop.every(Constants.ADDED_LOOK_MS, this::takeAllAdded);
     loop.every(Constants.AUDIT_MS, this::audit);
+    loop.every(Constants.GANG_LOOK_MS, this::lookAtGangs);
   }
 
   public int openJobs() {
@@ -310,6 +313,24 @@
     }
   }
 
+  // --- gangs -------------------------------------------------------------------------------------------
+
+  private void lookAtGangs() {
+    for (Job job : List.copyOf(jobs.values())) {
+      if (job.spec.gang()) {
+        lookAtGang(job);
+      }
+    }
+  }
+
+  private void lookAtGang(Job job) {
+    Team team = teams.get(job.spec.team());
+    if (team != null && share.holdValid()) {
+      boolean placesKnown = !job.inherited || team.phase() == Team.Phase.READY;
+      gangs.look(job, placesKnown);
+    }
+  }
+
   // --- peers -------------------------------------------------------------------------------------------
 
   public void linkUp(String peer) {
@@ -383,6 +404,7 @@
       if (job.phase() != Job.Phase.OPEN) {
         stop(job, p, 0);
       }
+      lookAtGang(job);
     } else {
       unplace(job, p);
       job.notBefore = Math.max(job.notBefore, loop.millis() + Constants.REFUSED_RETRY_MS);
@@ -406,6 +428,7 @@
     }
     job.unplace(p, loop.nanos());
     rooms.unplaced(p);
+    lookAtGang(job);
   }
 
   /**
@@ -487,8 +510,14 @@
     if (job.phase() == Job.Phase.ABORTING) {
       stop(job, p, 0);
     } else if (view.state == MachineState.DRAINING && job.spec.saveEveryS() > 0 && p.phase() == TaskPhase.RUNNING) {
-      stop(job, p, (int) Math.ceil(job.spec.saveCostS()));
+      int graceS = (int) Math.ceil(job.spec.saveCostS());
+      if (job.spec.gang()) {
+        gangs.stopInOrder(job, graceS);
+      } else {
+        stop(job, p, graceS);
+      }
     }
+    lookAtGang(job);
   }
 
   private long generation(Job job) {
@@ -496,9 +525,13 @@
   }
 
   private void exited(Job job, Placed p, MachineView view, TaskView task) {
-    if (task.cause == ExitCause.DONE && !job.spec.standing() && job.phase() == Job.Phase.OPEN) {
+    if (task.cause == ExitCause.DONE && !job.spec.service() && job.phase() == Job.Phase.OPEN) {
       if (!job.isDone(task.task)) {
-        job.finish(task.task);
+        if (job.spec.gang()) {
+          job.finishGang();
+        } else {
+          job.finish(task.task);
+        }
         if (p == null) {
           // Another attempt may still stand elsewhere; it is stopped once found.
           Placed other = job.at(task.task);
@@ -1173,18 +1206,20 @@
       // limit is starved by the parts of larger ones, which take each place as it falls free.
       // Nor is a job left waiting for ever for room that a small fleet never has at once.
       double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
-      boolean whole = !job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S;
-      if (count == 0) {
+      boolean gang = job.spec.gang();
+      boolean whole = gang || (!job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S);
+      if (count == 0 || (gang && count < job.waitingCount)) {
         job.waitsBecause(new WaitReason.TeamLimit(team.name, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
         continue;
       }
       Planner.Plan plan = find(job, count, whole, free);
       if (plan == null) {
-        job.waitsBecause(new WaitReason.NoRoom(whole ? count : 1, job.spec.cpus(), job.spec.ram()));
+        job.waitsBecause(noRoom(job, whole ? count : 1));
         if (stoppable != null) {
           preempt(team, job, count, free, whole, stoppable);
         }
-        if (whole && count > 1 && waitedS > Constants.GATHER_AFTER_S && plannedAt >= gatherAgainAt) {
+        double gatherAfterS = gang ? Constants.GANG_GATHER_AFTER_S : Constants.GATHER_AFTER_S;
+        if (whole && count > 1 && waitedS > gatherAfterS && plannedAt >= gatherAgainAt) {
           gatherAgainAt = plannedAt + Constants.GATHER_MS;
           gather(team, job, count, free);
         }
@@ -1194,6 +1229,13 @@
     }
   }
 
+  private static WaitReason noRoom(Job job, int tasks) {
+    JobSpec s = job.spec;
+    return s.gang()
+        ? new WaitReason.NoRoomForGang(tasks, s.cpus(), s.ram(), s.together())
+        : new WaitReason.NoRoom(tasks, s.cpus(), s.ram());
+  }
+
   /** A plan for the job's tasks, or null; jobs of a class that found no room are not tried again. */
   private Planner.Plan find(Job job, int count, boolean whole, List<Room> free) {
     int need = whole ? count : 1;
@@ -1236,7 +1278,7 @@
         boolean movable =
             p != null
                 && p.attempt == t.attempt
-                && job.spec.standing()
+                && job.spec.service()
                 && job.phase() == Job.Phase.OPEN
                 && job.waitingCount == 0
                 && job.running() == job.spec.tasks();
@@ -1272,26 +1314,32 @@
       return;
     }
     JobSpec s = job.spec;
+    Map<String, List<Victim>> stops = stoppable.stops(evictions);
     for (Preemption.Eviction eviction : evictions) {
       Room room = eviction.room();
-      List<Victim> stop = new ArrayList<>();
-      for (Preemption.Victim v : eviction.victims()) {
-        stop.add(new Victim(v.job(), v.task(), v.attempt()));
-        preempted.put(new Attempt(v.job(), v.task(), v.attempt()), loop.millis());
-      }
+      List<Victim> stop = stops.getOrDefault(room.machine, List.of());
+      stops.remove(room.machine);
       int n = eviction.tasks();
       room.take(n * s.cpus(), n * s.gpus(), n * s.ram());
-      askForRoom(team, job, room, n, stop);
-    }
+      askForRoom(team, job, room.owner, room.machine, n, stop);
+    }
+    // What is left are tasks of gangs that lose one elsewhere: all of a gang have to hear of its stop to save.
+    stops.forEach(
+        (machine, stop) -> {
+          Roster.Seen seen = roster.get(machine);
+          if (seen != null) {
+            askForRoom(team, job, seen.owner(), machine, 0, stop);
+          }
+        });
   }
 
   /** Asks the machine's owner to keep room for so many tasks of the job, after stopping others where need be. */
-  private void askForRoom(Team team, Job job, Room room, int tasks, List<Victim> stop) {
+  private void askForRoom(Team team, Job job, String owner, String machine, int tasks, List<Victim> stop) {
     JobSpec s = job.spec;
     links.ask(
-        room.owner,
+        owner,
         new Preempt(
-            team.name, room.machine, s.id(), s.rank().ordinal(), job.acceptedAt, tasks * s.cpus(),
+            team.name, machine, s.id(), s.rank().ordinal(), job.acceptedAt, tasks * s.cpus(),
             tasks * s.gpus(), tasks * s.ram(), stop, Constants.PREEMPT_GRACE_S));
   }
 
@@ -1303,7 +1351,9 @@
   private void gather(Team team, Job job, int count, List<Room> free) {
     Planner.Plan plan = planner.place(job.need(), count, free, false);
     if (plan != null) {
-      plan.slots().forEach(slot -> askForRoom(team, job, slot.room(), slot.tasks(), List.of()));
+      for (Planner.Slot slot : plan.slots()) {
+        askForRoom(team, job, slot.room().owner, slot.room().machine, slot.tasks(), List.of());
+      }
     }
   }
 
@@ -1315,6 +1365,7 @@
   private final class Stoppable {
     private List<Preemption.Victim> running;
     private final Map<String, Double> beyond = new HashMap<>();
+    private final Map<JobAttempt, List<Preemption.Victim>> byAttempt = new HashMap<>();
     private int searches;
 
     private void look() {
@@ -1332,14 +1383,44 @@
             running.add(
                 new Preemption.Victim(
                     seen.view().machine, t.team, t.job, t.task, t.attempt, t.rank, t.cpus, t.gpus, t.ram,
-                    t.ageS + sinceS));
+                    t.cpus * (t.ageS + sinceS)));
             beyond.merge(t.team, t.cpus, Double::sum);
           }
         }
       }
+      running.forEach(v -> byAttempt.computeIfAbsent(JobAttempt.of(v), k -> new ArrayList<>()).add(v));
+      running.replaceAll(v -> v.losing(gangOf(v).stream().mapToDouble(Preemption.Victim::lossCpuS).sum()));
       settings.facts().teams().forEach((name, limits) -> beyond.computeIfPresent(name, (n, used) -> used - limits.cpus()));
     }
 
+    /**
+     * The tasks that stop when this one does. Only tasks of a gang share their attempt, so the gangs of other
+     * controllers show in the views as well.
+     */
+    private List<Preemption.Victim> gangOf(Preemption.Victim victim) {
+      return byAttempt.get(JobAttempt.of(victim));
+    }
+
+    /** What has to be stopped on each machine for these evictions: a gang always as a whole. */
+    Map<String, List<Victim>> stops(List<Preemption.Eviction> evictions) {
+      Map<String, List<Victim>> byMachine = new TreeMap<>();
+      Set<JobAttempt> seen = new HashSet<>();
+      for (Preemption.Eviction eviction : evictions) {
+        for (Preemption.Victim victim : eviction.victims()) {
+          if (!seen.add(JobAttempt.of(victim))) {
+            continue;
+          }
+          for (Preemption.Victim v : gangOf(victim)) {
+            byMachine
+                .computeIfAbsent(v.machine(), m -> new ArrayList<>())
+                .add(new Victim(v.job(), v.task(), v.attempt()));
+            preempted.put(new Attempt(v.job(), v.task(), v.attempt()), loop.millis());
+          }
+        }
+      }
+      return byMachine;
+    }
+
     List<Preemption.Victim> victims(Team team, Job job) {
       if (running == null) {
         look();
@@ -1380,9 +1461,18 @@
     return cpus <= team.limits.cpus() + Constants.EPSILON && gpus <= team.limits.gpus() + Constants.EPSILON;
   }
 
+  /** One attempt of a job; what distinguishes gangs from other jobs is that several tasks share one. */
+  private record JobAttempt(String job, long attempt) {
+    static JobAttempt of(Preemption.Victim victim) {
+      return new JobAttempt(victim.job(), victim.attempt());
+    }
+  }
+
   private void carryOut(Team team, Job job, Planner.Plan plan) {
     long now = loop.nanos();
     List<Integer> tasks = TaskRanges.first(job.waiting, plan.tasks());
+    List<Placed> unsent = new ArrayList<>();
+    long gangAttempt = job.spec.gang() ? team.nextAttempt() : 0;
     int next = 0;
     job.started = true;
     job.waitsBecause(WaitReason.NONE);
@@ -1393,7 +1483,7 @@
         String owner = slot.room().owner;
         Placed p =
             new Placed(
-                job, task, team.nextAttempt(), slot.room().machine, place.generation(), owner,
+                job, task, job.spec.gang() ? gangAttempt : team.nextAttempt(), slot.room().machine, place.generation(), owner,
                 linkRounds.getOrDefault(owner, 0), slot.room().zone, TaskPhase.REQUESTED, now);
         place(job, p);
         JobSpec s = job.spec;
@@ -1404,10 +1494,14 @@
                     team.name, team.generation, p.machine, p.machineGeneration, s.id(), task, p.attempt,
                     s.rank().ordinal(), job.acceptedAt, s.cpus(), s.gpus(), s.ram(), s.image()));
         if (!sent) {
-          unplace(job, p);
+          unsent.add(p);
         }
       }
     }
+    if (job.spec.gang()) {
+      gangs.started(job);
+    }
+    unsent.forEach(p -> unplace(job, p));
   }
 
   /** What waits, by classes of like tasks, within the teams' limits. */
@@ -1430,14 +1524,14 @@
       if (s.gpus() > 0) {
         n = (int) Math.min(n, Math.floor((room[1] + Constants.EPSILON) / s.gpus()));
       }
-      if (n <= 0) {
+      if (n <= 0 || (s.gang() && n < job.waitingCount)) {
         continue;
       }
       room[0] -= n * s.cpus();
       room[1] -= n * s.gpus();
       double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
       // Where it does not matter which job a task belongs to, jobs are told as one class.
-      boolean alike = !s.scatter() && !s.together();
+      boolean alike = !s.scatter() && !s.together() && !s.gang();
       DemandClass known = alike ? arrays.get(List.of(job.like, s.rank())) : null;
       if (known != null) {
         known.tasks += n;
@@ -1447,7 +1541,7 @@
       DemandClass told =
           new DemandClass(
               s.rank().ordinal(), s.cpus(), s.gpus(), s.ram(), n, s.reclaimable(), s.scatter(),
-              s.together(), s.standing(), new ArrayList<>(s.kinds()), s.zone(),
+              s.together(), s.service(), new ArrayList<>(s.kinds()), s.zone(),
               waitedS, s.tasks(), job.need().zonesHeld());
       out.add(told);
       if (alike) {
--- a/src/main/java/org/sandford/job/WaitReason.java
+++ b/src/main/java/org/sandford/job/WaitReason.java
@@ -27,6 +27,25 @@
     }
   }
 
+  /** The gang needs places for all of its tasks at once. */
+  record NoRoomForGang(int tasks, double cpus, double ram, boolean inOneZone) implements WaitReason {
+    @Override
+    public String text() {
+      return String.format(
+          Locale.ROOT,
+          "waits for %d places of %.1f CPUs and %.1f GB at once%s",
+          tasks, cpus, ram, inOneZone ? " in one zone" : "");
+    }
+  }
+
+  /** The gang has its places, and some tasks do not run yet. */
+  record GangComesUp(int missing, int tasks) implements WaitReason {
+    @Override
+    public String text() {
+      return String.format(Locale.ROOT, "waits for %d of %d tasks", missing, tasks);
+    }
+  }
+
   /** No machines have room for so many tasks at once. */
   record NoRoom(int tasks, double cpus, double ram) implements WaitReason {
     @Override
--- a/src/main/java/org/sandford/machine/WorkerReport.java
+++ b/src/main/java/org/sandford/machine/WorkerReport.java
@@ -57,7 +57,8 @@
 
   private static TaskState state(String wire) {
     return switch (wire) {
-      case "pulling" -> TaskState.FETCHING;
+      // A gang's task that waits for the others occupies its place and does not run yet, like one that fetches.
+      case "pulling", "gathering" -> TaskState.FETCHING;
       case "saving" -> TaskState.SAVING;
       case "ended" -> TaskState.EXITED;
       // A state that is not known is on its machine, which is the careful reading.
@@ -69,7 +70,8 @@
     return switch (wire) {
       case "" -> ExitCause.NONE;
       case "done" -> ExitCause.DONE;
-      case "stopped" -> ExitCause.STOPPED;
+      // A gang that broke up is the fault of neither the machine nor the job.
+      case "stopped", "peers", "alone" -> ExitCause.STOPPED;
       case "full" -> ExitCause.NO_ROOM;
       case "in_use" -> ExitCause.BUSY;
       case "unknown" -> ExitCause.UNKNOWN;
--- a/src/main/java/org/sandford/placement/Need.java
+++ b/src/main/java/org/sandford/placement/Need.java
@@ -11,6 +11,8 @@
  * @param acceptedAt when it was accepted; of one rank, the earlier go first
  * @param kinds allowed kinds of machine; empty for any
  * @param zone the only allowed zone, or empty
+ * @param service its tasks are replicas, which spread evenly over zones
+ * @param gang its tasks start together, so the last image that arrives sets the pace
  * @param total tasks of the whole job, from which the scatter limit follows
  * @param zonesHeld tasks of the job by zone that are, or may be, on machines
  * @param machinesHeld machines that hold tasks of the job
@@ -29,7 +31,8 @@
     boolean reclaimable,
     boolean together,
     boolean scatter,
-    boolean standing,
+    boolean service,
+    boolean gang,
     int total,
     Map<String, Integer> zonesHeld,
     Set<String> machinesHeld,
@@ -55,6 +58,18 @@
     return acceptedAt != otherAcceptedAt ? acceptedAt > otherAcceptedAt : job.compareTo(other) > 0;
   }
 
+  /** Whether its tasks start the sooner the sooner all have their image, so that a warm machine anywhere is best. */
+  public boolean prefersWarm() {
+    return service || gang;
+  }
+
+  /** The same with only one zone allowed. */
+  public Need in(String onlyZone) {
+    return new Need(
+        job, rank, acceptedAt, cpus, gpus, ram, kinds, onlyZone, reclaimable, together, scatter, service, gang, total,
+        zonesHeld, machinesHeld, avoid, image);
+  }
+
   /** How many of the tasks the machine's free room holds. */
   public int fitting(Room room) {
     double e = org.sandford.Constants.EPSILON;
--- a/src/main/java/org/sandford/placement/Planner.java
+++ b/src/main/java/org/sandford/placement/Planner.java
@@ -100,9 +100,9 @@
     List<Room> others = new ArrayList<>();
     for (Room room : rooms) {
       if (need.allows(room) && (zone.isEmpty() || zone.equals(room.zone)) && need.fitting(room) > 0) {
-        // A service looks at all shares at once: a warm machine elsewhere starts it sooner than a cold
+        // A service or a gang looks at all shares at once: a warm machine elsewhere starts it sooner than a cold
         // one here.
-        (room.own || need.standing() ? own : others).add(room);
+        (room.own || need.prefersWarm() ? own : others).add(room);
       }
     }
     Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
@@ -113,7 +113,7 @@
     int left = count;
     for (List<Room> candidates : List.of(own, others)) {
       left =
-          need.standing() || need.scatter()
+          need.service() || need.scatter()
               ? spread(need, left, candidates, zones, machines, taken, slots, score)
               : pack(need, left, candidates, zones, machines, slots, score);
     }
@@ -199,7 +199,7 @@
         boolean better;
         if (best == null) {
           better = true;
-        } else if (need.standing() && inZone != bestInZone) {
+        } else if (need.service() && inZone != bestInZone) {
           // Services spread evenly over zones, without the zone term.
           better = inZone < bestInZone;
         } else {
@@ -216,7 +216,7 @@
       }
       int most = Math.min(left, need.fitting(best) - taken.getOrDefault(best, 0));
       most = Math.min(most, need.scatterLimit() - bestInZone);
-      int tasks = need.standing() ? 1 : most;
+      int tasks = need.service() ? 1 : most;
       slots.add(new Slot(best, tasks));
       score[0] += bestScore;
       taken.merge(best, tasks, Integer::sum);
@@ -234,11 +234,11 @@
       cost += Constants.COST_MACHINE;
     }
     boolean zoneHeld = zones.getOrDefault(room.zone, 0) > 0;
-    if (!need.standing() && !machines.isEmpty() && !zoneHeld) {
+    if (!need.service() && !machines.isEmpty() && !zoneHeld) {
       cost += Constants.COST_ZONE;
     }
     if (!room.images.contains(need.image())) {
-      cost += need.standing() ? Constants.COST_FETCH : Constants.COST_FETCH_ARRAY;
+      cost += need.prefersWarm() ? Constants.COST_FETCH : Constants.COST_FETCH_ARRAY;
     }
     if (need.reclaimable() && !room.spot) {
       cost += Constants.COST_ORDINARY;
--- a/src/main/java/org/sandford/placement/Preemption.java
+++ b/src/main/java/org/sandford/placement/Preemption.java
@@ -15,11 +15,18 @@
  * Pure: who may be stopped at all is decided by the caller.
  */
 public final class Preemption {
-  /** A task that may be stopped. */
+  /**
+   * A task that may be stopped.
+   *
+   * @param lossCpuS the processor seconds of work that are lost with it; for a task of a gang, those of the whole
+   *     gang, whose other tasks stop with it
+   */
   public record Victim(
-      String machine, String team, String job, int task, long attempt, int rank, double cpus, double gpus, double ram, double ageS) {
-    double loss() {
-      return cpus * ageS;
+      String machine, String team, String job, int task, long attempt, int rank, double cpus, double gpus, double ram,
+      double lossCpuS) {
+    /** The same task as one of a gang that loses so much. */
+    public Victim losing(double gangLossCpuS) {
+      return new Victim(machine, team, job, task, attempt, rank, cpus, gpus, ram, gangLossCpuS);
     }
   }
 
@@ -33,12 +40,15 @@
    * counts first. Nothing is taken from the rooms.
    */
   public static List<Eviction> choose(Need need, int count, Collection<Room> rooms, List<Victim> victims, boolean allOrNone) {
+    if (need.together() && need.zone().isEmpty() && need.zonesHeld().isEmpty()) {
+      return cheapestZone(need, count, rooms, victims, allOrNone);
+    }
     Map<String, List<Victim>> byMachine = new HashMap<>();
     for (Victim v : victims) {
       byMachine.computeIfAbsent(v.machine, m -> new ArrayList<>()).add(v);
     }
     byMachine.values().forEach(
-        list -> list.sort(Comparator.comparingInt((Victim v) -> -v.rank).thenComparingDouble(Victim::loss)));
+        list -> list.sort(Comparator.comparingInt((Victim v) -> -v.rank).thenComparingDouble(Victim::lossCpuS)));
     Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
     Map<Room, double[]> free = new LinkedHashMap<>();
     for (Room room : rooms) {
@@ -99,6 +109,32 @@
     return useful ? new ArrayList<>(out.values()) : null;
   }
 
+  /** Tries each zone by itself: the zone of the cheapest first victim may have no room for the rest. */
+  private static List<Eviction> cheapestZone(
+      Need need, int count, Collection<Room> rooms, List<Victim> victims, boolean allOrNone) {
+    List<Eviction> best = null;
+    for (String zone : rooms.stream().map(room -> room.zone).distinct().sorted().toList()) {
+      List<Eviction> found = choose(need.in(zone), count, rooms, victims, allOrNone);
+      if (found != null && (best == null || isBetter(found, best))) {
+        best = found;
+      }
+    }
+    return best;
+  }
+
+  private static boolean isBetter(List<Eviction> one, List<Eviction> other) {
+    int byTasks = Integer.compare(tasks(one), tasks(other));
+    return byTasks > 0 || (byTasks == 0 && loss(one) < loss(other));
+  }
+
+  private static int tasks(List<Eviction> evictions) {
+    return evictions.stream().mapToInt(Eviction::tasks).sum();
+  }
+
+  private static double loss(List<Eviction> evictions) {
+    return evictions.stream().flatMap(e -> e.victims().stream()).mapToDouble(Victim::lossCpuS).sum();
+  }
+
   /** What one more task on this machine would cost. */
   private record Offer(Room room, List<Victim> stop, double loss, int order) implements Comparable<Offer> {
     @Override
@@ -112,7 +148,7 @@
       Need need, Room room, double[] free, Map<String, List<Victim>> byMachine, int order, PriorityQueue<Offer> offers) {
     List<Victim> stop = enough(need, free, byMachine.getOrDefault(room.machine, List.of()));
     if (stop != null) {
-      offers.add(new Offer(room, stop, stop.stream().mapToDouble(Victim::loss).sum(), order));
+      offers.add(new Offer(room, stop, stop.stream().mapToDouble(Victim::lossCpuS).sum(), order));
     }
   }
 
--- a/src/main/java/org/sandford/settings/Settings.java
+++ b/src/main/java/org/sandford/settings/Settings.java
@@ -27,12 +27,18 @@
   /** A team's guarantee and limit; 0 means none. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
+  /**
+   * What the platform tells of the deployment. The store's limits are the smaller of those in force and those
+   * announced in {@code state.next}, since the store may change to the latter at any moment.
+   */
   public record Facts(
       List<String> zones,
       Map<String, Team> teams,
       double reportS,
       double leaseS,
       double cancelS,
+      double gangWaitS,
+      double gangPeerS,
       double stateRps,
       double stateWriteRps,
       int stateValueBytes,
--- a/src/main/java/org/sandford/settings/SettingsLoader.java
+++ b/src/main/java/org/sandford/settings/SettingsLoader.java
@@ -62,7 +62,7 @@
               team.amount("gpus_max", 0, 0)));
     }
     Section workers = facts.section("workers");
-    Section state = facts.section("state");
+    StateLimits limitsOfStore = StateLimits.read(facts.section("state"));
     Section cloud = facts.section("cloud");
     Section limits = facts.section("machine_limits");
     Settings settings =
@@ -80,10 +80,12 @@
                 workers.amount("report_s", 0.1, Double.NaN),
                 workers.amount("lease_s", 1, Double.NaN),
                 workers.amount("cancel_s", 1, Double.NaN),
-                state.amount("rps", 1, Double.NaN),
-                state.amount("write_rps", 1, Double.NaN),
-                (int) (state.amount("value_kb", 1, Double.NaN) * 1024),
-                (int) state.amount("txn_ops", 1, Double.NaN),
+                workers.amount("gang_wait_s", 1, Constants.DEFAULT_GANG_WAIT_S),
+                workers.amount("gang_peer_s", 0.1, Constants.DEFAULT_GANG_PEER_S),
+                limitsOfStore.requestsPerSecond(),
+                limitsOfStore.changesPerSecond(),
+                limitsOfStore.valueBytes(),
+                limitsOfStore.changesPerTransaction(),
                 cloud.amount("rps", 0.01, Double.NaN),
                 cloud.amount("list_lag_s", 0, 0),
                 (int) limits.amount("sockets", 16, Constants.DEFAULT_SOCKETS),
@@ -145,6 +147,25 @@
     return text == null ? "unknown error" : text.replaceAll("\\s+", " ").trim();
   }
 
+  /** The limits of the state service that hold at any moment. */
+  private record StateLimits(
+      double requestsPerSecond, double changesPerSecond, int valueBytes, int changesPerTransaction) {
+    /** The smaller of what is in force and of what {@code next} announces; a lacking one stays as it is. */
+    static StateLimits read(Section state) throws SettingsException {
+      return new StateLimits(
+          smaller(state, "rps"),
+          smaller(state, "write_rps"),
+          (int) (smaller(state, "value_kb") * 1024),
+          (int) smaller(state, "txn_ops"));
+    }
+
+    private static double smaller(Section state, String key) throws SettingsException {
+      double now = state.amount(key, 1, Double.NaN);
+      Section next = state.optional("next");
+      return next == null ? now : Math.min(now, next.amount(key, 1, now));
+    }
+  }
+
   /** A table of the TOML file that knows its own name, for complaints. */
   private record Section(String file, String path, JsonNode node) {
     private SettingsException wrong(String key, String expected) {
@@ -159,6 +180,11 @@
       return new Section(file, path + key + ".", at);
     }
 
+    /** The table, or null when there is none. */
+    Section optional(String key) throws SettingsException {
+      return node.path(key).isMissingNode() ? null : section(key);
+    }
+
     List<Section> list(String key) throws SettingsException {
       JsonNode at = node.path(key);
       if (at.isMissingNode()) {
--- /dev/null
+++ b/src/main/java/org/sandford/share/MachinePlanner.java
@@ -0,0 +1,269 @@
+package org.sandford.share;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.AssignmentMap.Machines;
+import org.sandford.share.AssignmentMap.Part;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Plans one change of the machines' part of the assignment map: what the leader wishes, and an owner for each machine
+ * whose owner is gone. Pure, and made anew for each plan; one plan fits into one transaction, and what does not fit is
+ * found anew after it.
+ *
+ * <p>A part that outgrew the store's value limit, because it was written under a larger one, is split. Its machines
+ * are first copied to parts with higher numbers, which count before lower ones, and leave it once all that it has to
+ * lose stand there.
+ */
+final class MachinePlanner {
+  private static final Logger log = LoggerFactory.getLogger(MachinePlanner.class);
+
+  /** The head of the machines, and the teams, may go with the parts. */
+  private static final int OTHER_CHANGES = 2;
+
+  /** What the leader wants changed. */
+  record Changes(Collection<Share.NewMachine> adds, Set<String> removes, Map<String, String> moves) {}
+
+  /**
+   * The parts to be written, each with the revision that it follows.
+   *
+   * @param lastGeneration the last generation that was given
+   */
+  record Plan(long lastGeneration, Map<Integer, Part> changed) {}
+
+  private final Settings.Facts facts;
+  private final Machines machines;
+  private final Set<String> live;
+  private final Map<Integer, Map<String, MachineOwner>> drafts = new TreeMap<>();
+  /** The part that counts for each machine: of two that name it, the one with the higher number. */
+  private final Map<String, Integer> partOfMachine = new HashMap<>();
+  private final Map<Integer, Integer> sizes = new TreeMap<>();
+  private final Map<String, Integer> owned = new HashMap<>();
+  private final Set<String> removed = new TreeSet<>();
+  /** Parts that are too large still: copies of their machines are written first. */
+  private final Set<Integer> splitting = new TreeSet<>();
+  private long lastGeneration;
+
+  MachinePlanner(Settings.Facts facts, Machines machines, Set<String> live) {
+    this.facts = facts;
+    this.machines = machines;
+    this.live = live;
+    this.lastGeneration = machines.last();
+    machines.parts().forEach((number, part) -> sizes.put(number, part.of().size()));
+    machines.parts().forEach((number, part) -> part.of().keySet().forEach(name -> partOfMachine.put(name, number)));
+    machines.of().values().forEach(this::countOwned);
+  }
+
+  Plan plan(Changes changes) {
+    changes.removes.forEach(this::remove);
+    changes.adds.forEach(add -> add(add, changes.removes));
+    machines.parts().forEach(this::splitIfTooLarge);
+    assignOwners(changes.moves);
+    return new Plan(lastGeneration, fittingParts());
+  }
+
+  // --- wishes ---------------------------------------------------------------------------------------
+
+  private void remove(String name) {
+    Integer number = partOfMachine.get(name);
+    // While an older copy stands in a part that is being split, the removal would bring that one back.
+    if (number != null && !hasOlderCopy(name, number)) {
+      draft(number).remove(name);
+      removed.add(name);
+    }
+  }
+
+  private boolean hasOlderCopy(String name, int number) {
+    return machines.parts().entrySet().stream()
+        .anyMatch(part -> part.getKey() < number && part.getValue().of().containsKey(name));
+  }
+
+  private void add(Share.NewMachine add, Set<String> removes) {
+    MachineOwner known = machines.of().get(add.name());
+    if (known == null) {
+      int number = roomiest();
+      sizes.merge(number, 1, Integer::sum);
+      draft(number).put(add.name(), new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot()));
+    } else if (!known.seen() && !add.address().isEmpty() && !removes.contains(add.name())) {
+      draft(partOfMachine.get(add.name())).put(add.name(), known.at(add.address()));
+    }
+  }
+
+  private int mostEntries() {
+    return (int) (facts.stateValueBytes() * Constants.MAP_PART_FILL / Constants.MAP_ENTRY_BYTES);
+  }
+
+  /**
+   * The part with the most room, or a new one when none has any: machines that are rented together
+   * come up and go back together, and so touch few parts.
+   */
+  private int roomiest() {
+    int best = 0;
+    while (sizes.containsKey(best)) {
+      best++;
+    }
+    int least = Integer.MAX_VALUE;
+    for (Map.Entry<Integer, Integer> e : sizes.entrySet()) {
+      if (e.getValue() < mostEntries() && e.getValue() < least) {
+        best = e.getKey();
+        least = e.getValue();
+      }
+    }
+    return best;
+  }
+
+  // --- parts that are too large ----------------------------------------------------------------------
+
+  private void splitIfTooLarge(int number, Part part) {
+    if (part.of().size() <= mostEntries()
+        || bytes(part) <= facts.stateValueBytes() * Constants.MAP_SPLIT_SHARE) {
+      return;
+    }
+    Map<String, MachineOwner> left = draft(number);
+    left.keySet().removeIf(name -> partOfMachine.get(name) != number);
+    List<String> leaving = new ArrayList<>(left.keySet());
+    // Machines without an owner go first: their new owner can be written at once.
+    leaving.sort((a, b) -> Boolean.compare(live.contains(left.get(a).owner()), live.contains(left.get(b).owner())));
+    int excess = leaving.size() - mostEntries();
+    int moved = 0;
+    while (moved < excess && drafts.size() + OTHER_CHANGES < facts.stateTxnOps()) {
+      int target = newPartNumber();
+      int until = Math.min(excess, moved + mostEntries());
+      for (String name : leaving.subList(moved, until)) {
+        draft(target).put(name, left.remove(name));
+        partOfMachine.put(name, target);
+      }
+      sizes.put(target, until - moved);
+      moved = until;
+    }
+    if (moved < excess) {
+      // The rest leaves with the next transactions; until then the copies count.
+      drafts.remove(number);
+      splitting.add(number);
+    }
+  }
+
+  /** Higher than all others, so that its copies count before what they are copied from. */
+  private int newPartNumber() {
+    return sizes.keySet().stream().mapToInt(Integer::intValue).max().orElse(-1) + 1;
+  }
+
+  // --- owners -----------------------------------------------------------------------------------------
+
+  private void assignOwners(Map<String, String> moves) {
+    Set<Integer> numbers = new TreeSet<>(machines.parts().keySet());
+    numbers.addAll(drafts.keySet());
+    numbers.removeAll(splitting);
+    for (int number : numbers) {
+      Map<String, MachineOwner> before = drafts.getOrDefault(number, stored(number));
+      for (Map.Entry<String, MachineOwner> e : Map.copyOf(new TreeMap<>(before)).entrySet()) {
+        boolean counts = partOfMachine.getOrDefault(e.getKey(), number) == number;
+        String to = counts ? nextOwner(e.getValue(), moves.get(e.getKey())) : null;
+        if (to != null) {
+          MachineOwner assigned = e.getValue().ownedBy(to, ++lastGeneration);
+          countOwned(assigned);
+          draft(number).put(e.getKey(), assigned);
+        }
+      }
+    }
+  }
+
+  /** The machine's next owner, or null when it keeps the one that it has, or when nobody is there. */
+  private String nextOwner(MachineOwner machine, String wish) {
+    boolean wished = wish != null && live.contains(wish);
+    if (live.contains(machine.owner()) && (!wished || wish.equals(machine.owner()))) {
+      return null;
+    }
+    return wished ? wish : poorest(machine.zone());
+  }
+
+  private void countOwned(MachineOwner machine) {
+    owned.merge(machine.owner() + "/" + machine.zone(), 1, Integer::sum);
+    owned.merge(machine.owner(), 1, Integer::sum);
+  }
+
+  /** Each share has every zone where possible: fewest machines in the zone, then fewest at all. */
+  private String poorest(String zone) {
+    String best = null;
+    for (String member : live) {
+      if (best == null) {
+        best = member;
+        continue;
+      }
+      int inZone = owned.getOrDefault(member + "/" + zone, 0) - owned.getOrDefault(best + "/" + zone, 0);
+      int all = owned.getOrDefault(member, 0) - owned.getOrDefault(best, 0);
+      if (inZone < 0 || (inZone == 0 && all < 0)) {
+        best = member;
+      }
+    }
+    return best;
+  }
+
+  // --- one transaction ----------------------------------------------------------------------------------
+
+  /** The parts that differ from what is stored, as many as one transaction takes; copies before what they copy. */
+  private Map<Integer, Part> fittingParts() {
+    Map<Integer, Part> changed = new TreeMap<>();
+    List<Integer> order = new ArrayList<>(drafts.keySet());
+    order.sort((a, b) -> Boolean.compare(machines.parts().containsKey(a), machines.parts().containsKey(b)));
+    int total = 0;
+    for (int number : order) {
+      Map<String, MachineOwner> draft = drafts.get(number);
+      if (draft.equals(stored(number)) || !keepsAll(number, draft, changed)) {
+        continue;
+      }
+      Part known = machines.parts().get(number);
+      Part part = new Part(known == null ? 0 : known.revision(), draft);
+      int size = bytes(part);
+      if (size > facts.stateValueBytes()) {
+        log.error("part {} of the assignment map outgrows the store's value limit; it is left as it is", number);
+        continue;
+      }
+      total += size;
+      if (total > Constants.TXN_BYTES || changed.size() + OTHER_CHANGES >= facts.stateTxnOps()) {
+        break;
+      }
+      changed.put(number, part);
+    }
+    return changed;
+  }
+
+  /** Whether each machine that leaves the part was removed, or stands in another part with this transaction. */
+  private boolean keepsAll(int number, Map<String, MachineOwner> draft, Map<Integer, Part> changed) {
+    for (String name : stored(number).keySet()) {
+      if (draft.containsKey(name) || removed.contains(name)) {
+        continue;
+      }
+      int other = partOfMachine.get(name);
+      Map<String, MachineOwner> there = changed.containsKey(other) ? changed.get(other).of() : stored(other);
+      if (other == number || !there.containsKey(name)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private Map<String, MachineOwner> stored(int number) {
+    Part part = machines.parts().get(number);
+    return part == null ? Map.of() : part.of();
+  }
+
+  private Map<String, MachineOwner> draft(int number) {
+    return drafts.computeIfAbsent(number, n -> new TreeMap<>(stored(n)));
+  }
+
+  private static int bytes(Part part) {
+    return Json.bytes(part.json()).length;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/sandford/share/MemberVersions.java
@@ -0,0 +1,87 @@
+package org.sandford.share;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.sandford.Constants;
+import org.sandford.core.Json;
+import org.sandford.core.Loop;
+import org.sandford.settings.Settings;
+import org.sandford.state.StateClient;
+import org.sandford.state.StateClient.Entry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Which version of stored records every configured controller knows. A controller announces its version together
+ * with its incarnation, so the announcement outlives the process and is replaced by whichever version starts next.
+ *
+ * <p>A record that an older version would misread may be written only once all controllers, also those that are
+ * down, have announced the version that knows it: one that dies before its upgrade comes back with the old version.
+ * This cannot lock up: an upgrade starts each controller once with the new version, and what it announced stays.
+ */
+public final class MemberVersions {
+  private static final Logger log = LoggerFactory.getLogger(MemberVersions.class);
+
+  /** Where the incarnations of the controllers stand in the store, by label. */
+  static final String PREFIX = "inc/";
+
+  private static final String NUMBER = "n";
+  private static final String VERSION = "v";
+
+  private final Loop loop;
+  private final StateClient state;
+  private final Set<String> labels = new HashSet<>();
+  private boolean allKnowGangs;
+
+  public MemberVersions(Loop loop, Settings settings, StateClient state) {
+    this.loop = loop;
+    this.state = state;
+    labels.add(settings.label());
+    settings.others().forEach(other -> labels.add(other.label()));
+  }
+
+  /** The record of an incarnation of this version; versions without gangs read its number alone. */
+  static ObjectNode announcement(long incarnation) {
+    return Json.object().put(NUMBER, incarnation).put(VERSION, Constants.RECORD_VERSION);
+  }
+
+  /** Begins to look at the announcements; it ends once all controllers know the current version. */
+  public void start() {
+    look();
+  }
+
+  /** Whether every controller reads the records of gangs. Once true, it stays so. */
+  public boolean allKnowGangs() {
+    return allKnowGangs;
+  }
+
+  private void look() {
+    state.list(
+        PREFIX,
+        (entries, epoch) -> {
+          if (entries != null) {
+            take(entries);
+          }
+          if (!allKnowGangs) {
+            loop.after(Constants.VERSIONS_LOOK_MS, this::look);
+          }
+        });
+  }
+
+  private void take(List<Entry> entries) {
+    Map<String, Integer> versions = new HashMap<>();
+    for (Entry entry : entries) {
+      String label = entry.key().substring(PREFIX.length());
+      versions.put(label, entry.value().path(VERSION).asInt(1));
+    }
+    allKnowGangs =
+        labels.stream().allMatch(label -> versions.getOrDefault(label, 0) >= Constants.RECORD_VERSION_GANGS);
+    if (allKnowGangs) {
+      log.info("all controllers know gangs; they are accepted from now on");
+    }
+  }
+}
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -5,7 +5,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -229,13 +228,17 @@
     membership = next;
   }
 
+  private static String incarnationKey(String label) {
+    return MemberVersions.PREFIX + label;
+  }
+
   private void join() {
     long attempt = ++membershipTry;
     becomes(Membership.NAMELESS);
     hold = 0;
     holdUntil = loop.nanos();
     state.get(
-        "inc/" + settings.label(),
+        incarnationKey(settings.label()),
         Priority.RENEWAL,
         (entry, known) -> {
           if (attempt != membershipTry) {
@@ -262,10 +265,10 @@
   }
 
   private void takeName(long attempt, long number, long stamp) {
-    String key = "inc/" + settings.label();
+    String key = incarnationKey(settings.label());
     state.txn(
         Map.of(key, stamp),
-        List.of(Op.put(key, Json.object().put("n", number))),
+        List.of(Op.put(key, MemberVersions.announcement(number))),
         Priority.RENEWAL,
         result -> {
           if (attempt != membershipTry) {
@@ -314,7 +317,7 @@
     String key = MEMBER + settings.label();
     // Carried out late, after a newer life took its number, this would take that life's key away.
     state.txn(
-        Map.of("inc/" + settings.label(), nameRevision),
+        Map.of(incarnationKey(settings.label()), nameRevision),
         List.of(new Op(key, Json.object().put("id", id), hold)),
         Priority.RENEWAL,
         result -> {
@@ -744,9 +747,11 @@
     if (!hurried && !ordinary) {
       return;
     }
-    Map<Integer, Part> changed = new TreeMap<>();
     boolean wishes = !adds.isEmpty() || !removes.isEmpty() || !moves.isEmpty();
-    long last = orphaned || wishes ? planMachines(live, ordinary, changed) : machines.last();
+    MachinePlanner.Plan plan =
+        orphaned || wishes ? planMachines(live, ordinary) : new MachinePlanner.Plan(machines.last(), Map.of());
+    Map<Integer, Part> changed = plan.changed();
+    long last = plan.lastGeneration();
     Map<String, Long> conditions = new LinkedHashMap<>();
     conditions.put(LEADER, leaderRevision);
     List<Op> ops = new ArrayList<>();
@@ -793,6 +798,15 @@
         });
   }
 
+  /** Without {@code ordinary} only what tasks wait for: machines without an owner, and those that left with tasks. */
+  private MachinePlanner.Plan planMachines(Set<String> live, boolean ordinary) {
+    MachinePlanner.Changes changes =
+        ordinary
+            ? new MachinePlanner.Changes(adds.values(), removes, moves)
+            : new MachinePlanner.Changes(List.of(), awaited, Map.of());
+    return new MachinePlanner(settings.facts(), machines, live).plan(changes);
+  }
+
   /**
    * Moves machines from the largest share to the smallest, each with a new generation: a part of the
    * surplus at a time, so that the shares' owners report their room in between.
@@ -893,125 +907,4 @@
     }
     return changed ? new Teams(teams.revision(), last, next) : teams;
   }
-
-  /**
-   * Puts what changes of the machines' parts into {@code changed}, each with the revision that it
-   * follows, and returns the last generation given. One transaction holds only so much; what does not
-   * fit is found anew after it. Without {@code ordinary} only what is waited for is changed: machines
-   * without an owner, and those that left with tasks.
-   */
-  private long planMachines(Set<String> live, boolean ordinary, Map<Integer, Part> changed) {
-    Map<Integer, Map<String, MachineOwner>> next = new TreeMap<>();
-    Map<Integer, Integer> sizes = new TreeMap<>();
-    machines.parts().forEach((number, part) -> sizes.put(number, part.of().size()));
-    Map<String, Integer> placeOf = new HashMap<>();
-    machines.parts().forEach((number, part) -> part.of().keySet().forEach(name -> placeOf.put(name, number)));
-    for (String name : ordinary ? removes : awaited) {
-      Integer number = placeOf.get(name);
-      if (number != null) {
-        draft(next, number).remove(name);
-      }
-    }
-    for (NewMachine add : ordinary ? adds.values() : List.<NewMachine>of()) {
-      MachineOwner known = machines.of().get(add.name());
-      if (known == null) {
-        MachineOwner fresh = new MachineOwner("", 0, add.address(), add.kind(), add.zone(), add.spot());
-        int number = roomiest(sizes);
-        sizes.merge(number, 1, Integer::sum);
-        draft(next, number).put(add.name(), fresh);
-      } else if (!known.seen() && !add.address().isEmpty() && !removes.contains(add.name())) {
-        draft(next, placeOf.get(add.name())).put(add.name(), known.at(add.address()));
-      }
-    }
-    Map<String, Integer> owned = new HashMap<>();
-    for (MachineOwner m : machines.of().values()) {
-      owned.merge(m.owner() + "/" + m.zone(), 1, Integer::sum);
-      owned.merge(m.owner(), 1, Integer::sum);
-    }
-    long last = machines.last();
-    Set<Integer> numbers = new TreeSet<>(machines.parts().keySet());
-    numbers.addAll(next.keySet());
-    int bytes = 0;
-    for (int number : numbers) {
-      Map<String, MachineOwner> before = next.getOrDefault(number, partOf(number));
-      Map<String, MachineOwner> after = new TreeMap<>(before);
-      for (Map.Entry<String, MachineOwner> e : before.entrySet()) {
-        MachineOwner m = e.getValue();
-        String wish = ordinary ? moves.get(e.getKey()) : null;
-        boolean wished = wish != null && live.contains(wish);
-        if (live.contains(m.owner()) && (!wished || wish.equals(m.owner()))) {
-          continue;
-        }
-        String to = wished ? wish : poorest(owned, m.zone());
-        if (to != null) {
-          owned.merge(to + "/" + m.zone(), 1, Integer::sum);
-          owned.merge(to, 1, Integer::sum);
-          after.put(e.getKey(), m.ownedBy(to, ++last));
-        }
-      }
-      if (after.equals(partOf(number))) {
-        continue;
-      }
-      Part known = machines.parts().get(number);
-      Part part = new Part(known == null ? 0 : known.revision(), after);
-      int size = Json.bytes(part.json()).length;
-      if (size > settings.facts().stateValueBytes()) {
-        log.error("part {} of the assignment map outgrows the store's value limit; it is left as it is", number);
-        continue;
-      }
-      bytes += size;
-      // The teams and the head may go with the parts.
-      if (bytes > Constants.TXN_BYTES || changed.size() + 2 >= settings.facts().stateTxnOps()) {
-        break;
-      }
-      changed.put(number, part);
-    }
-    return last;
-  }
-
-  private Map<String, MachineOwner> partOf(int number) {
-    Part part = machines.parts().get(number);
-    return part == null ? Map.of() : part.of();
-  }
-
-  private Map<String, MachineOwner> draft(Map<Integer, Map<String, MachineOwner>> next, int number) {
-    return next.computeIfAbsent(number, n -> new TreeMap<>(partOf(n)));
-  }
-
-  /**
-   * The part with the most room, or a new one when none has any: machines that are rented together
-   * come up and go back together, and so touch few parts.
-   */
-  private int roomiest(Map<Integer, Integer> sizes) {
-    double most = settings.facts().stateValueBytes() * Constants.MAP_PART_FILL / Constants.MAP_ENTRY_BYTES;
-    int best = 0;
-    while (sizes.containsKey(best)) {
-      best++;
-    }
-    int least = Integer.MAX_VALUE;
-    for (Map.Entry<Integer, Integer> e : sizes.entrySet()) {
-      if (e.getValue() + 1 <= most && e.getValue() < least) {
-        best = e.getKey();
-        least = e.getValue();
-      }
-    }
-    return best;
-  }
-
-  /** Each share has every zone where possible: fewest machines in the zone, then fewest at all. */
-  private String poorest(Map<String, Integer> sizes, String zone) {
-    String best = null;
-    for (String member : members.values()) {
-      if (best == null) {
-        best = member;
-        continue;
-      }
-      int inZone = sizes.getOrDefault(member + "/" + zone, 0) - sizes.getOrDefault(best + "/" + zone, 0);
-      int all = sizes.getOrDefault(member, 0) - sizes.getOrDefault(best, 0);
-      if (inZone < 0 || (inZone == 0 && all < 0)) {
-        best = member;
-      }
-    }
-    return best;
-  }
 }
--- a/src/test/java/org/sandford/api/JobParserTest.java
+++ b/src/test/java/org/sandford/api/JobParserTest.java
@@ -41,6 +41,16 @@
     assertEquals(spec, JobSpec.read(spec.id(), spec.json()));
   }
 
+  @Test
+  void allTasksOfAGangCountAgainstTheLimitAtOnce() throws Exception {
+    ObjectNode gang = good().put("shape", "ensemble").put("pieces", 2);
+    JobSpec spec = JobParser.parse(gang);
+    JobParser.checkRunnable(spec, TEAMS, FLAVORS);
+    assertEquals(JobSpec.Shape.GANG, spec.shape());
+    assertEquals(422, refused(gang.put("pieces", 3)).status);
+    assertEquals(400, refused(gang.put("shape", "choir")).status);
+  }
+
   @Test
   void whatMayBeNullMayBeMissing() throws Exception {
     ObjectNode body = good();
--- /dev/null
+++ b/src/test/java/org/sandford/job/GangTest.java
@@ -0,0 +1,42 @@
+package org.sandford.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.sandford.job.Gang.Phase;
+
+class GangTest {
+  private final Gang gang = new Gang();
+
+  private void goThrough(Phase... phases) {
+    for (Phase phase : phases) {
+      assertTrue(gang.becomes(phase, 1), "it was " + phase + " already");
+    }
+  }
+
+  @Test
+  void onlyAttemptsThatNeverRanCountAsFailures() {
+    goThrough(Phase.STARTING, Phase.DRAINING, Phase.WAITING, Phase.STARTING, Phase.GATHERING, Phase.DRAINING, Phase.WAITING);
+    assertEquals(2, gang.failuresInRow());
+    goThrough(Phase.STARTING, Phase.RUNNING);
+    assertEquals(0, gang.failuresInRow());
+    goThrough(Phase.STOPPING, Phase.WAITING);
+    assertEquals(0, gang.failuresInRow(), "it ran, and was stopped");
+  }
+
+  @Test
+  void aPhaseKeepsTheTimeAtWhichItBegan() {
+    gang.becomes(Phase.STARTING, 5);
+    assertFalse(gang.becomes(Phase.STARTING, 9));
+    assertEquals(5, gang.since());
+  }
+
+  @Test
+  void aGangThatIsDoneStaysSo() {
+    goThrough(Phase.STARTING, Phase.RUNNING, Phase.DONE);
+    assertThrows(IllegalStateException.class, () -> gang.becomes(Phase.WAITING, 2));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/job/ProductionRecordsTest.java
@@ -0,0 +1,50 @@
+package org.sandford.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sandford.core.Json;
+
+/** Job records as the version in production writes and reads them: arrays and services stay the same to the letter. */
+class ProductionRecordsTest {
+  private static final String ARRAY =
+      "{\"c\":\"train\",\"t\":\"red\",\"k\":0,\"r\":1,\"n\":16,\"cpu\":8.0,\"gpu\":0.0,\"ram\":64.0,\"z\":\"a\","
+          + "\"to\":1,\"sc\":0,\"sp\":1,\"i\":\"img-07\",\"ig\":6.2,\"e\":240.0,\"se\":30.0,\"sv\":4.0,\"due\":900.0,"
+          + "\"m\":[\"m8\"]}";
+  private static final String SERVICE =
+      "{\"c\":\"serve\",\"t\":\"red\",\"k\":1,\"r\":0,\"n\":4,\"cpu\":2.0,\"gpu\":0.0,\"ram\":8.0,\"z\":\"\","
+          + "\"to\":0,\"sc\":1,\"sp\":0,\"i\":\"img\",\"ig\":1.0,\"e\":0.0,\"se\":0.0,\"sv\":0.0,\"due\":0.0}";
+
+  private static JobSpec array(JobSpec.Shape shape) {
+    return new JobSpec(
+        "wk-000412", "train", "red", shape, JobSpec.Rank.URGENT, 16, 8, 0, 64, Set.of("m8"), "a", true, false, true,
+        "img-07", 6.2, 240, 30, 4, 900);
+  }
+
+  private static JobSpec service() {
+    return new JobSpec(
+        "wk-000413", "serve", "red", JobSpec.Shape.SERVICE, JobSpec.Rank.PRODUCTION, 4, 2, 0, 8, Set.of(), "", false,
+        true, false, "img", 1, 0, 0, 0, 0);
+  }
+
+  @Test
+  void arraysAndServicesAreWrittenAsProductionDoes() {
+    assertEquals(ARRAY, Json.text(array(JobSpec.Shape.ARRAY).json()));
+    assertEquals(SERVICE, Json.text(service().json()));
+  }
+
+  @Test
+  void whatProductionWroteIsRead() {
+    assertEquals(array(JobSpec.Shape.ARRAY), JobSpec.read("wk-000412", Json.read(ARRAY)));
+    assertEquals(service(), JobSpec.read("wk-000413", Json.read(SERVICE)));
+  }
+
+  @Test
+  void aGangSurvivesItsRecord() {
+    JobSpec gang = array(JobSpec.Shape.GANG);
+    assertEquals(gang, JobSpec.read(gang.id(), gang.json()));
+    assertTrue(gang.gang());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/sandford/machine/WorkerReportTest.java
@@ -0,0 +1,31 @@
+package org.sandford.machine;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.sandford.core.Json;
+import org.sandford.peer.wire.ExitCause;
+import org.sandford.peer.wire.TaskState;
+
+class WorkerReportTest {
+  private static WorkerReport.Held held(String fields) {
+    String report =
+        "{\"host\":\"n-000231\",\"addr\":\"10.1.0.232:9000\",\"machine_kind\":\"g8\",\"site\":\"a\",\"tenure\":1,"
+            + "\"serial\":88,\"fence\":41,\"pieces\":[{\"piece\":\"wk-000412/3\",\"try\":2," + fields + "}]}";
+    return WorkerReport.read(Json.read(report)).tasks().get(0);
+  }
+
+  @Test
+  void aTaskThatWaitsForItsGangDoesNotRunYet() {
+    assertEquals(TaskState.FETCHING, held("\"status\":\"gathering\"").state());
+    assertEquals(TaskState.FETCHING, held("\"status\":\"pulling\"").state());
+    assertEquals(TaskState.RUNNING, held("\"status\":\"running\"").state());
+  }
+
+  @Test
+  void aGangThatBrokeUpIsNoFaultOfItsMachine() {
+    assertEquals(ExitCause.STOPPED, held("\"status\":\"ended\",\"exit_cause\":\"peers\"").cause());
+    assertEquals(ExitCause.STOPPED, held("\"status\":\"ended\",\"exit_cause\":\"alone\"").cause());
+    assertEquals(ExitCause.ERROR, held("\"status\":\"ended\",\"exit_cause\":\"error\"").cause());
+  }
+}
--- a/src/test/java/org/sandford/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/sandford/settings/SettingsLoaderTest.java
@@ -53,6 +53,28 @@
     return Files.writeString(dir.resolve(name), text);
   }
 
+  @Test
+  void theSmallerOfTheStoresLimitsHolds() throws Exception {
+    String next = "[facts.state.next]\nvalue_kb = 2.0\ntxn_ops = 30\nwrite_rps = 35.0\n[facts.cloud]";
+    Settings.Facts facts = SettingsLoader.load(file("s.toml", GOOD.replace("[facts.cloud]", next)), null).facts();
+    assertEquals(2048, facts.stateValueBytes());
+    assertEquals(24, facts.stateTxnOps(), "the announced one is larger");
+    assertEquals(35.0, facts.stateWriteRps());
+    assertEquals(250.0, facts.stateRps(), "none is announced");
+  }
+
+  @Test
+  void gangTimesHaveDefaults() throws Exception {
+    Settings.Facts plain = SettingsLoader.load(file("s.toml", GOOD), null).facts();
+    assertEquals(30.0, plain.gangWaitS());
+    assertEquals(8.0, plain.gangPeerS());
+    String given = "gang_wait_s = 50.0\ngang_peer_s = 6.0\n[facts.state]";
+    Settings.Facts facts = SettingsLoader.load(file("t.toml", GOOD.replace("[facts.state]", given)), null).facts();
+    assertEquals(50.0, facts.gangWaitS());
+    assertEquals(6.0, facts.gangPeerS());
+    assertTrue(complaint(GOOD.replace("[facts.cloud]", "next = 5\n[facts.cloud]")).contains("facts.state.next"));
+  }
+
   private String complaint(String toml) throws IOException {
     Path file = file("s.toml", toml);
     return assertThrows(SettingsException.class, () -> SettingsLoader.load(file, null)).getMessage();
--- /dev/null
+++ b/src/test/java/org/sandford/share/MachinePlannerTest.java
@@ -0,0 +1,86 @@
+package org.sandford.share;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.sandford.core.Json;
+import org.sandford.settings.Settings;
+import org.sandford.share.AssignmentMap.MachineOwner;
+import org.sandford.share.AssignmentMap.Machines;
+import org.sandford.share.AssignmentMap.Part;
+
+class MachinePlannerTest {
+  private static final int VALUE_BYTES = 2048;
+  private static final int TXN_OPS = 5;
+  private static final MachinePlanner.Changes NOTHING = new MachinePlanner.Changes(List.of(), Set.of(), Map.of());
+
+  private static Settings.Facts facts() {
+    return new Settings.Facts(
+        List.of("a", "b"), Map.of(), 2, 16, 46, 30, 8, 250, 50, VALUE_BYTES, TXN_OPS, 5, 5, 500, 3);
+  }
+
+  /** A map as it was written under a larger limit: one part. */
+  private static Machines onePart(int count, String owner) {
+    Map<String, MachineOwner> of = new TreeMap<>();
+    for (int i = 0; i < count; i++) {
+      of.put(
+          String.format("n-%06d", i),
+          new MachineOwner(owner, i + 1, "10.1.0." + i + ":9000", "m8", i % 2 == 0 ? "a" : "b", false));
+    }
+    return Machines.NONE.with(1, count, Map.of(0, new Part(1, of)));
+  }
+
+  private static Machines written(Machines before, MachinePlanner.Plan plan, long revision) {
+    Map<Integer, Part> parts = new HashMap<>();
+    plan.changed().forEach(
+        (number, part) -> {
+          assertTrue(Json.bytes(part.json()).length <= VALUE_BYTES, "part " + number + " is too large");
+          parts.put(number, new Part(revision, part.of()));
+        });
+    assertTrue(plan.changed().size() + 2 <= TXN_OPS, plan.changed().size() + " parts in one transaction");
+    return before.with(revision, plan.lastGeneration(), parts);
+  }
+
+  @Test
+  void aPartThatIsTooLargeIsSplitWithoutLosingAMachine() {
+    Machines machines = onePart(230, "c0#1");
+    Set<String> live = Set.of("c1#1", "c2#1");
+    int transactions = 0;
+    while (machines.of().values().stream().anyMatch(m -> !live.contains(m.owner()))) {
+      machines = written(machines, new MachinePlanner(facts(), machines, live).plan(NOTHING), ++transactions + 1);
+      assertEquals(230, machines.of().size());
+      assertTrue(transactions < 20, "it does not come to an end");
+    }
+    assertTrue(transactions > 1, "one transaction cannot hold it");
+  }
+
+  @Test
+  void aMachineThatWasCopiedComesBackFromNoOldPart() {
+    Machines machines = onePart(230, "c0#1");
+    Set<String> live = Set.of("c0#1");
+    Set<String> removes = Set.of("n-000003", "n-000100", "n-000229");
+    int transactions = 0;
+    while (removes.stream().anyMatch(machines.of()::containsKey)) {
+      MachinePlanner planner = new MachinePlanner(facts(), machines, live);
+      MachinePlanner.Plan plan = planner.plan(new MachinePlanner.Changes(List.of(), removes, Map.of()));
+      machines = written(machines, plan, ++transactions + 1);
+      assertTrue(machines.of().size() >= 227, machines.of().size() + " machines are left");
+      assertTrue(transactions < 20, "it does not come to an end");
+    }
+    assertEquals(227, machines.of().size());
+  }
+
+  @Test
+  void aNewOwnerHasANewGeneration() {
+    Machines machines = onePart(10, "c0#1");
+    MachinePlanner.Plan plan = new MachinePlanner(facts(), machines, Set.of("c1#1")).plan(NOTHING);
+    assertEquals(20, plan.lastGeneration());
+    plan.changed().get(0).of().values().forEach(m -> assertTrue(m.generation() > 10 && m.owner().equals("c1#1")));
+  }
+}
