--- a/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
@@ -10,8 +10,8 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Plays meetings of troubles drawn by the seeds below under the same rules as the scenarios. More of them by hand:
- * {@code mvn test -Dtest=RandomMeetingsTest -Dsandford.seeds=1000-1999}.
+ * Plays meetings of troubles drawn by the seeds below under the same rules as the scenarios. More
+ * of them by hand: {@code mvn test -Dtest=RandomMeetingsTest -Dsandford.seeds=1000-1999}.
  */
 class RandomMeetingsTest {
   private static final String SEEDS = System.getProperty("sandford.seeds", "1-40");
