A team's use counts what jobs that ended before its owner still hold

The second fault of the incident, a team over its limit, was found by following the paths on which use is counted. An owner counts what its own jobs hold.

- UntrackedTasks counts tasks on machines that belong to the team and to no attempt that is tracked, whatever the reason; of unknown size, as much as their machine can hold.
A machine's new owner passes on team and size that the former one told, although the job was not looked up.
- CancelledJobs bounds what cancelled jobs may hold where no machine has told: their tasks, until cancel_s has passed; without bound while this controller does not know the ends that long.
- Team counts no more than the unheard machines can hold (UnheardMachines), and does so without a pass over its jobs for each job of a planning round.

The runner's check for a 404 was by order of arrival: it called a question that had left before the acceptance forgotten, which no service could avoid. It is now the same order as for ends: what began after an acceptance had arrived must know the job, at every controller (RulesTest has both sides).

--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -226,6 +226,12 @@
    */
   public static final int CHANGE_ANSWER_MS = 4_000;
 
+  /**
+   * Seconds' worth of reads at the store's rate that may wait to be sent: a user's question takes
+   * two, and users give up after 2 s.
+   */
+  public static final double READS_WAITING_S = 0.5;
+
   /** Seconds in {@code Retry-After} when authority is missing: about the time of a takeover. */
   public static final int RETRY_AUTHORITY_S = 1;
 
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -204,7 +204,7 @@
       refuse(JobParser.idOf(body), refused, answer);
       return;
     }
-    lookup.remember(spec.id(), spec.team());
+    lookup.remember(spec);
     ObjectNode forward = Json.object();
     forward.set("s", spec.json());
     toOwner(
--- /dev/null
+++ b/src/main/java/org/sandford/job/CancelledJobs.java
@@ -0,0 +1,74 @@
+package org.sandford.job;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.function.LongSupplier;
+import org.sandford.Constants;
+import org.sandford.core.Loop;
+
+/**
+ * The jobs that were cancelled lately. Until {@code cancel_s} after its cancellation a job's tasks
+ * may be on machines, and a new owner of its team does not find the job among the open ones.
+ */
+final class CancelledJobs {
+  /** A cancelled job; {@code tasks} is the number of all its tasks. */
+  private record Cancelled(String team, int tasks, long at) {}
+
+  private final Loop loop;
+  private final Lookup lookup;
+  private final LongSupplier endsKnownSince;
+  private final long keptNanos;
+  private final Map<String, Cancelled> jobs = new LinkedHashMap<>();
+
+  /**
+   * @param endsKnownSince the moment since which no end of a job was missed here
+   * @param cancelS seconds until a cancelled job's tasks are surely gone
+   */
+  CancelledJobs(Loop loop, Lookup lookup, LongSupplier endsKnownSince, double cancelS) {
+    this.loop = loop;
+    this.lookup = lookup;
+    this.endsKnownSince = endsKnownSince;
+    double keptS = cancelS * (1 + Constants.CLOCK_DRIFT) + Constants.KILL_MARGIN_S;
+    this.keptNanos = (long) (keptS * 1e9);
+  }
+
+  /** A cancellation became known; {@code team} is empty and {@code tasks} 0 where nobody told. */
+  void add(String job, String team, int tasks) {
+    long now = loop.nanos();
+    Cancelled known = jobs.get(job);
+    if (known == null) {
+      jobs.put(job, new Cancelled(team, tasks, now));
+    } else if (known.team.isEmpty()) {
+      jobs.put(job, new Cancelled(team, tasks, known.at));
+    }
+    Iterator<Cancelled> oldest = jobs.values().iterator();
+    while (oldest.hasNext() && now - oldest.next().at > keptNanos) {
+      oldest.remove();
+    }
+  }
+
+  /** The most that tasks of the team's cancelled jobs may hold on machines that were not heard. */
+  Amount mayHold(String team) {
+    long now = loop.nanos();
+    if (now - endsKnownSince.getAsLong() <= keptNanos) {
+      return Amount.UNBOUNDED;
+    }
+    Amount most = Amount.ZERO;
+    for (Map.Entry<String, Cancelled> job : jobs.entrySet()) {
+      if (now - job.getValue().at <= keptNanos) {
+        most = most.plus(mayHold(team, job.getKey(), job.getValue()));
+      }
+    }
+    return most;
+  }
+
+  private Amount mayHold(String team, String job, Cancelled cancelled) {
+    boolean others = !cancelled.team.isEmpty() && !cancelled.team.equals(team);
+    if (others) {
+      return Amount.ZERO;
+    }
+    Amount each = lookup.sizeOf(job);
+    return each == null || cancelled.tasks == 0 ? Amount.UNBOUNDED : each.times(cancelled.tasks);
+  }
+}
--- a/src/main/java/org/sandford/job/JobAnswers.java
+++ b/src/main/java/org/sandford/job/JobAnswers.java
@@ -78,7 +78,8 @@
         ObjectNode stored = JobStatus.storedStatus(id, found.record());
         yield known(id).orElseGet(() -> Answer.of(200, stored, basis));
       }
-      case NONE -> Answer.refuse(404, "no job has this id");
+      // It may have been accepted while the reads were under way.
+      case NONE -> known(id).orElseGet(() -> Answer.refuse(404, "no job has this id"));
       case UNKNOWN -> Answer.later(503, "the job's state is not known just now", 1);
     };
   }
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -64,6 +64,9 @@
   private final Map<String, Team> teams;
   private final Map<String, Job> jobs;
   private final JobAnswers answers;
+  private final UntrackedTasks untracked;
+  private final CancelledJobs cancelled;
+  private final Function<String, Flavor> flavors;
   private final Submissions submissions;
   private final JobRecords records;
   private final RoomBook rooms;
@@ -109,6 +112,10 @@
     this.teams = owned.teams();
     this.jobs = owned.jobs();
     this.answers = new JobAnswers(owned, finals, lookup);
+    this.untracked = new UntrackedTasks(owned, lookup, flavors);
+    this.cancelled =
+        new CancelledJobs(loop, lookup, share::endsKnownSince, settings.facts().cancelS());
+    this.flavors = flavors;
     this.submissions =
         new Submissions(
             loop, settings, share, owned, writer, store, finals, lookup, answers, new TakenJobs());
@@ -184,6 +191,8 @@
       }
     }
     if (!gained.isEmpty()) {
+      // What the machines hold of these teams did not concern this controller until now.
+      roster.all().forEach(seen -> untracked.take(seen.view()));
       load(gained);
     }
     machinesChanged();
@@ -211,6 +220,7 @@
     for (String name : before.keySet()) {
       if (!now.containsKey(name)) {
         rooms.changed(name);
+        untracked.gone(name);
         // It is gone, and all that was on it: its return was answered.
         rooms.on(name).forEach(p -> lost(p.job, p, "its machine " + name + " is gone"));
       }
@@ -316,30 +326,34 @@
       if (team.phase() != Team.Phase.SETTLING) {
         continue;
       }
-      if (team.open == null) {
-        team.open = new HashSet<>();
-        share
-            .machines()
-            .of()
-            .forEach(
-                (name, place) -> {
-                  if (place.seen()) {
-                    team.open.add(name);
-                  }
-                });
+      if (team.unheard == null) {
+        team.unheard = unheardMachines();
       }
-      team.open.removeIf(name -> isTold(team, name));
+      team.unheard.removeIf(name -> isTold(team, name));
       readyIfTold(team);
     }
   }
 
+  private UnheardMachines unheardMachines() {
+    Map<String, MachineOwner> map = share.machines().of();
+    UnheardMachines unheard =
+        new UnheardMachines(name -> Amount.ofMachine(flavors.apply(map.get(name).kind())));
+    map.forEach(
+        (name, place) -> {
+          if (place.seen()) {
+            unheard.add(name);
+          }
+        });
+    return unheard;
+  }
+
   /** The same for machines that were just told of: in a takeover views come by the hundred. */
   private void settle(Iterable<MachineView> views) {
     for (Team team : teams.values()) {
-      if (team.phase() == Team.Phase.SETTLING && team.open != null) {
+      if (team.phase() == Team.Phase.SETTLING && team.unheard != null) {
         for (MachineView view : views) {
-          if (team.open.contains(view.machine) && isTold(team, view.machine)) {
-            team.open.remove(view.machine);
+          if (team.unheard.contains(view.machine) && isTold(team, view.machine)) {
+            team.unheard.remove(view.machine);
           }
         }
         readyIfTold(team);
@@ -363,7 +377,7 @@
   }
 
   private void readyIfTold(Team team) {
-    if (team.open.isEmpty()) {
+    if (team.unheard.isEmpty()) {
       team.becomes(Team.Phase.READY);
       log.info("team {}: where its tasks are is known", team.name);
       planSoon();
@@ -414,6 +428,7 @@
       rooms.changed(view.machine);
       if (seen != null && seen.view() == view) {
         takeView(from, view);
+        untracked.take(view);
       }
     }
     views.gone.forEach(rooms::changed);
@@ -478,14 +493,14 @@
     rooms.placed(p);
     Team team = teams.get(job.spec.team());
     if (team != null) {
-      team.holds(job, 1);
+      team.takes(job);
     }
   }
 
   private void unplace(Job job, Placed p) {
     Team team = teams.get(job.spec.team());
     if (team != null && job.at(p.task) == p) {
-      team.holds(job, -1);
+      team.givesUp(job);
     }
     job.unplace(p, loop.nanos());
     rooms.unplaced(p);
@@ -779,6 +794,9 @@
 
   /** Somebody stored this job's final state, possibly this controller. */
   public void finalSeen(String id, JsonNode record) {
+    if (record.path("s").asText().equals("aborted")) {
+      cancelled.add(id, record.path("t").asText(), record.path("n").asInt());
+    }
     Job job = jobs.get(id);
     // A cancelled job stays known until its tasks are gone, so its end may be told more than once.
     if (job != null && !job.writing && !job.phase().over()) {
@@ -811,6 +829,9 @@
   private void ended(Job job, String state) {
     job.becomes(state.equals("done") ? Job.Phase.DONE : Job.Phase.ABORTED);
     log.debug("{} is {}", job.spec.id(), state);
+    if (job.phase() == Job.Phase.ABORTED) {
+      cancelled.add(job.spec.id(), job.spec.team(), job.spec.tasks());
+    }
     finals.put(job.spec.id(), job.finalRecord(state));
     answers.ended(job.spec.id()).ifPresent(answer -> JobRecords.answerAborters(job, answer));
     for (Placed p : job.placed()) {
@@ -894,8 +915,18 @@
     planPauseMs = Math.max(Constants.PLAN_MS, (long) (spentMs / Constants.PLAN_TIME_SHARE));
   }
 
-  private void plan(List<Job> queue) {
+  private void countUse() {
     teams.values().forEach(Team::countHeld);
+    untracked.addTo(teams);
+    for (Team team : teams.values()) {
+      if (team.phase() != Team.Phase.READY) {
+        team.mayHoldCancelled(cancelled.mayHold(team.name));
+      }
+    }
+  }
+
+  private void plan(List<Job> queue) {
+    countUse();
     List<Room> free = rooms.usable();
     if (rooms.growth() != hopelessSince || plannedAt - hopelessAt > Constants.PLAN_IDLE_MS) {
       hopelessSince = rooms.growth();
@@ -1068,7 +1099,7 @@
 
   /** What waits, by classes of like tasks, within the teams' limits. */
   public List<DemandClass> demand() {
-    teams.values().forEach(Team::countHeld);
+    countUse();
     return new DemandReport(teams, loop.nanos()).of(queue());
   }
 }
--- a/src/main/java/org/sandford/job/Lookup.java
+++ b/src/main/java/org/sandford/job/Lookup.java
@@ -29,7 +29,11 @@
   private final StateClient state;
   private final Finals finals;
   private final AuditLog audit;
-  private final Cache<String, String> teams =
+
+  /** What never changes about a job. */
+  private record Known(String team, Amount size) {}
+
+  private final Cache<String, Known> known =
       Caffeine.newBuilder().maximumSize(Constants.TEAMS_CACHED).executor(Runnable::run).build();
 
   public Lookup(StateClient state, Finals finals, AuditLog audit) {
@@ -40,23 +44,30 @@
 
   /** The team of a job, if it is remembered; it never changes. */
   public String teamOf(String job) {
-    return teams.getIfPresent(job);
+    Known remembered = known.getIfPresent(job);
+    return remembered == null ? null : remembered.team;
+  }
+
+  /** What each of a job's tasks holds, or null when it is not remembered; it never changes. */
+  Amount sizeOf(String job) {
+    Known remembered = known.getIfPresent(job);
+    return remembered == null ? null : remembered.size;
   }
 
-  public void remember(String job, String team) {
-    teams.put(job, team);
+  public void remember(JobSpec spec) {
+    known.put(spec.id(), new Known(spec.team(), Amount.ofTask(spec)));
   }
 
   public void find(String job, Consumer<Found> done) {
     state.get(
         JobStore.OPEN + job,
-        (open, known) -> {
-          if (!known) {
+        (open, answered) -> {
+          if (!answered) {
             done.accept(UNKNOWN);
           } else if (open != null) {
-            String team = JobStore.spec(job, open.value()).team();
-            remember(job, team);
-            done.accept(new Found(Kind.OPEN, team, "", open.value(), open.revision()));
+            JobSpec spec = JobStore.spec(job, open.value());
+            remember(spec);
+            done.accept(new Found(Kind.OPEN, spec.team(), "", open.value(), open.revision()));
           } else {
             findFinal(job, done);
           }
@@ -67,8 +78,8 @@
   private void findFinal(String job, Consumer<Found> done) {
     state.get(
         JobStore.FINAL + job,
-        (ended, known) -> {
-          if (!known) {
+        (ended, answered) -> {
+          if (!answered) {
             done.accept(UNKNOWN);
           } else if (ended == null) {
             done.accept(NONE);
--- a/src/main/java/org/sandford/job/OwnedJobs.java
+++ b/src/main/java/org/sandford/job/OwnedJobs.java
@@ -87,6 +87,6 @@
   void adopt(Team team, Job job) {
     team.jobs.put(job.spec.id(), job);
     jobs.put(job.spec.id(), job);
-    lookup.remember(job.spec.id(), team.name);
+    lookup.remember(job.spec);
   }
 }
--- a/src/main/java/org/sandford/job/Submissions.java
+++ b/src/main/java/org/sandford/job/Submissions.java
@@ -331,7 +331,9 @@
         open ->
             open.forEach(
                 (id, entry) -> {
-                  String team = JobStore.spec(id, entry.value()).team();
+                  JobSpec spec = JobStore.spec(id, entry.value());
+                  lookup.remember(spec);
+                  String team = spec.team();
                   if (owned.owns(team) && !owned.knows(id) && !finals.contains(id)) {
                     log.info("{} of team {} was not known here", id, team);
                     // The listing may be older than the job's end, so it is read once more.
--- a/src/main/java/org/sandford/job/Team.java
+++ b/src/main/java/org/sandford/job/Team.java
@@ -30,15 +30,22 @@
   /** Owners that refuse older generations of this team from now on. */
   final Set<String> claimed = new HashSet<>();
 
-  /**
-   * Machines whose tasks were not told completely yet after their owner took the claim; null before
-   * the first look.
-   */
-  Set<String> open;
+  /** Machines whose owner has not told everything after it took the claim; null before a look. */
+  UnheardMachines unheard;
 
   private long attempts;
-  private double heldCpus;
-  private double heldGpus;
+  private Amount held = Amount.ZERO;
+
+  /** What of that is held by jobs that a former owner may have started. */
+  private Amount inherited = Amount.ZERO;
+
+  private Amount untracked = Amount.ZERO;
+
+  /** What tasks of inherited jobs may hold that were not found. */
+  private Amount missing = Amount.ZERO;
+
+  /** What tasks of jobs that were cancelled lately may hold. */
+  private Amount cancelled = Amount.ZERO;
 
   Team(String name, long generation, Settings.Team limits) {
     this.name = name;
@@ -67,50 +74,68 @@
   }
 
   /**
-   * Counts anew what its tasks hold, once for a whole planning round: counted for each job of the
-   * round, it cost as many steps as there are pairs of jobs.
+   * Counts anew what the tasks of its jobs hold, once for a whole planning round: counted for each
+   * job of the round, it cost as many steps as there are pairs of jobs. What is untracked is added
+   * after it.
    */
   void countHeld() {
-    heldCpus = 0;
-    heldGpus = 0;
+    held = Amount.ZERO;
+    inherited = Amount.ZERO;
+    untracked = Amount.ZERO;
+    missing = Amount.ZERO;
     for (Job job : jobs.values()) {
-      heldCpus += job.holding() * job.spec.cpus();
-      heldGpus += job.holding() * job.spec.gpus();
+      Amount ofJob = Amount.ofTask(job.spec).times(job.holding());
+      held = held.plus(ofJob);
+      if (job.inherited) {
+        inherited = inherited.plus(ofJob);
+        missing = missing.plus(Amount.ofTask(job.spec).times(job.waitingCount));
+      }
     }
   }
 
-  /** A task of the job takes room, or with -1 gives it up, since the last count. */
-  void holds(Job job, int more) {
-    heldCpus += more * job.spec.cpus();
-    heldGpus += more * job.spec.gpus();
+  /** Tasks of the team that belong to none of its jobs hold so much more. */
+  void holdsUntracked(Amount more) {
+    untracked = untracked.plus(more);
+  }
+
+  /** Tasks of jobs of the team that were cancelled lately may hold so much where nobody told. */
+  void mayHoldCancelled(Amount most) {
+    cancelled = most;
+  }
+
+  /** A task of the job takes room since the last count. */
+  void takes(Job job) {
+    held = held.plus(Amount.ofTask(job.spec));
+  }
+
+  /** A task of the job gives its room up since the last count. */
+  void givesUp(Job job) {
+    held = held.minus(Amount.ofTask(job.spec));
   }
 
   double cpusUsed() {
-    return heldCpus + hidden(limits.cpusMax(), true);
+    double found = inherited.cpus() + untracked.cpus();
+    return held.cpus() + untracked.cpus() + hidden(limits.cpusMax() - found, unheardMost().cpus());
   }
 
   double gpusUsed() {
-    return heldGpus + hidden(limits.gpusMax(), false);
+    double found = inherited.gpus() + untracked.gpus();
+    return held.gpus() + untracked.gpus() + hidden(limits.gpusMax() - found, unheardMost().gpus());
+  }
+
+  /** What may be on machines that have not told: no more than they hold, and than there is. */
+  private Amount unheardMost() {
+    Amount unfound = missing.plus(cancelled);
+    return unheard == null ? unfound : unfound.atMost(unheard.capacity());
   }
 
   /**
-   * Until all is known, tasks of inherited jobs that were not found may be running somewhere; the
-   * former owner kept the limit, so together with those found they use the limit at the most.
+   * Until all machines have told, tasks that the former owner started may be running on those that
+   * have not, of jobs that are open and of jobs that have ended. The former owner kept the limit,
+   * so together with what was found they use the limit at the most.
    */
-  private double hidden(double max, boolean cpus) {
-    if (phase == Phase.READY) {
-      return 0;
-    }
-    double found = 0;
-    double missing = 0;
-    for (Job job : jobs.values()) {
-      if (job.inherited) {
-        double each = cpus ? job.spec.cpus() : job.spec.gpus();
-        found += job.holding() * each;
-        missing += job.waitingCount * each;
-      }
-    }
-    return Math.max(0, Math.min(missing, max - found));
+  private double hidden(double limitLeft, double onUnheardMachines) {
+    return phase == Phase.READY ? 0 : Math.max(0, Math.min(limitLeft, onUnheardMachines));
   }
 
   /** How many more tasks of this size the team's limit allows. */
--- /dev/null
+++ b/src/main/java/org/sandford/job/UntrackedTasks.java
@@ -0,0 +1,140 @@
+package org.sandford.job;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Function;
+import org.sandford.cloud.Flavor;
+import org.sandford.peer.wire.MachineView;
+import org.sandford.peer.wire.TaskState;
+import org.sandford.peer.wire.TaskView;
+
+/**
+ * Tasks on machines that belong to a team of this controller, but to no attempt that it tracks. A
+ * job that was cancelled under a former owner is not among the open jobs that its successor loads,
+ * and still its tasks hold their room until they are gone, on a hung machine for a minute. They
+ * count against the team's limit like any other.
+ *
+ * <p>Only machines with such tasks are kept, so the cost of counting does not grow with the fleet.
+ */
+final class UntrackedTasks {
+  /**
+   * A machine with such tasks.
+   *
+   * @param spare what tasks of unknown size may hold there at the most
+   */
+  private record OnMachine(List<TaskView> tasks, Amount spare) {}
+
+  private final OwnedJobs owned;
+  private final Lookup lookup;
+  private final Function<String, Flavor> flavors;
+  private final Map<String, OnMachine> machines = new HashMap<>();
+
+  UntrackedTasks(OwnedJobs owned, Lookup lookup, Function<String, Flavor> flavors) {
+    this.owned = owned;
+    this.lookup = lookup;
+    this.flavors = flavors;
+  }
+
+  /**
+   * Takes in what a machine's owner told. A settled view names all that the machine holds; what
+   * another one lacks may still be there.
+   */
+  void take(MachineView view) {
+    List<TaskView> untracked = new ArrayList<>();
+    OnMachine before = machines.get(view.machine);
+    if (!view.settled && before != null) {
+      untracked.addAll(before.tasks);
+    }
+    for (TaskView task : view.tasks) {
+      if (concerns(task) && untracked.stream().noneMatch(known -> sameAttempt(known, task))) {
+        untracked.add(task);
+      }
+    }
+    if (untracked.isEmpty()) {
+      machines.remove(view.machine);
+    } else {
+      machines.put(view.machine, new OnMachine(untracked, spare(view)));
+    }
+  }
+
+  /** The machine has left the map, and with it all that was on it. */
+  void gone(String machine) {
+    machines.remove(machine);
+  }
+
+  private static boolean sameAttempt(TaskView a, TaskView b) {
+    return Attempt.of(a).equals(Attempt.of(b));
+  }
+
+  /** Whether the task is on its machine, perhaps of a team of ours, and counted nowhere else. */
+  private boolean concerns(TaskView task) {
+    if (task.state == TaskState.EXITED || isTracked(task)) {
+      return false;
+    }
+    String team = teamOf(task);
+    return team.isEmpty() || owned.owns(team);
+  }
+
+  private boolean isTracked(TaskView task) {
+    Job job = owned.job(task.job);
+    Job.Placed placed = job == null ? null : job.at(task.task);
+    return placed != null && placed.attempt == task.attempt;
+  }
+
+  /** The team of the task's job; empty when nobody has told. */
+  private String teamOf(TaskView task) {
+    if (!task.team.isEmpty()) {
+      return task.team;
+    }
+    String remembered = lookup.teamOf(task.job);
+    return remembered == null ? "" : remembered;
+  }
+
+  private Amount spare(MachineView view) {
+    Amount spare = Amount.ofMachine(flavors.apply(view.kind));
+    for (TaskView task : view.tasks) {
+      if (task.state != TaskState.EXITED && hasSize(task)) {
+        spare = spare.minus(new Amount(task.cpus, task.gpus));
+      }
+    }
+    return spare;
+  }
+
+  private static boolean hasSize(TaskView task) {
+    return !task.team.isEmpty();
+  }
+
+  /** Adds to each team of this controller what these tasks hold, or may hold. */
+  void addTo(Map<String, Team> teams) {
+    Iterator<OnMachine> each = machines.values().iterator();
+    while (each.hasNext()) {
+      OnMachine machine = each.next();
+      machine.tasks.removeIf(task -> !concerns(task));
+      if (machine.tasks.isEmpty()) {
+        each.remove();
+      } else {
+        addTo(teams, machine);
+      }
+    }
+  }
+
+  private void addTo(Map<String, Team> teams, OnMachine machine) {
+    Set<String> ofUnknownSize = new HashSet<>();
+    for (TaskView task : machine.tasks) {
+      String team = teamOf(task);
+      if (hasSize(task)) {
+        teams.get(team).holdsUntracked(new Amount(task.cpus, task.gpus));
+      } else if (!team.isEmpty()) {
+        ofUnknownSize.add(team);
+      } else {
+        ofUnknownSize.addAll(teams.keySet());
+      }
+    }
+    ofUnknownSize.forEach(team -> teams.get(team).holdsUntracked(machine.spare));
+  }
+}
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -171,6 +171,7 @@
             Roster.Seen seen = roster.get(name);
             if (seen != null) {
               machine.images.addAll(seen.view().images);
+              seen.view().tasks.forEach(machine::remember);
             }
             machines.put(name, machine);
             gone.remove(name);
@@ -522,6 +523,7 @@
       JobSpec spec = specs.get(entry.key.task().job());
       if (spec == null) {
         missing = true;
+        filled |= machine.describeAsTold(entry);
       } else {
         describe(machine, entry, spec);
         filled = true;
--- a/src/main/java/org/sandford/machine/Machine.java
+++ b/src/main/java/org/sandford/machine/Machine.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -133,6 +134,9 @@
   final Set<String> images = new LinkedHashSet<>();
   private int imageChanges;
 
+  /** What the former owner told of the tasks; their jobs may have ended meanwhile. */
+  private final Map<Key, TaskView> toldBefore = new HashMap<>();
+
   /** What is kept for each job, and until when. */
   private final Map<String, Keep> keeps = new LinkedHashMap<>();
 
@@ -147,6 +151,32 @@
     this.wantedToken = token();
   }
 
+  /** Takes over what the former owner told of a task. */
+  void remember(TaskView task) {
+    if (!task.team.isEmpty()) {
+      toldBefore.put(new Key(new TaskKey(task.job, task.task), task.attempt), task);
+    }
+  }
+
+  /**
+   * Fills in what the former owner told of a task whose job was not looked up here. The team and
+   * the size of a task never change, and the team's owner has to count it, also when its job has
+   * ended; it stays unknown all the same, since only a look-up proves that its job is open.
+   */
+  boolean describeAsTold(Entry entry) {
+    TaskView told = entry.team.isEmpty() ? toldBefore.get(entry.key) : null;
+    if (told == null) {
+      return false;
+    }
+    entry.team = told.team;
+    entry.rank = told.rank;
+    entry.cpus = told.cpus;
+    entry.gpus = told.gpus;
+    entry.ram = told.ram;
+    entry.image = told.image;
+    return true;
+  }
+
   MachineState state() {
     return state;
   }
--- a/src/main/java/org/sandford/state/StateClient.java
+++ b/src/main/java/org/sandford/state/StateClient.java
@@ -69,6 +69,7 @@
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final EnumMap<Priority, ArrayDeque<Queued>> queues = new EnumMap<>(Priority.class);
+  private final int mostReadsWaiting;
   private boolean pumping;
 
   public StateClient(Loop loop, HttpCalls http, String address, double rps, double writeRps) {
@@ -76,6 +77,8 @@
     this.http = http;
     this.address = address;
     this.requests = new TokenBucket(loop, rps * Constants.STATE_RATE_SHARE);
+    this.mostReadsWaiting =
+        Math.max(1, (int) (rps * Constants.STATE_RATE_SHARE * Constants.READS_WAITING_S));
     this.writes = new TokenBucket(loop, writeRps * Constants.STATE_RATE_SHARE);
     for (Priority priority : Priority.values()) {
       queues.put(priority, new ArrayDeque<>());
@@ -142,6 +145,11 @@
       int timeoutMs,
       Consumer<Reply> done,
       int tries) {
+    if (priority == Priority.READ && queues.get(priority).size() >= mostReadsWaiting) {
+      // Nobody waits as long as it would take; the caller hears at once that nothing is known.
+      loop.execute(() -> done.accept(new Reply(Reply.NOT_SENT, new byte[0])));
+      return;
+    }
     enqueue(
         priority,
         writeOps,
--- a/src/test/java/org/sandford/scenario/RandomMeetings.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetings.java
@@ -1,6 +1,7 @@
 package org.sandford.scenario;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
@@ -15,6 +16,7 @@
   private static final double TROUBLES_FROM_S = 15;
   private static final double TROUBLES_UNTIL_S = 150;
   private static final double UNTIL_S = 330;
+  private static final long CLOSE_LOOKS_SALT = 0x9E3779B97F4A7C15L;
 
   private final Random random;
   private final List<double[]> times = new ArrayList<>();
@@ -29,6 +31,34 @@
     return new RandomMeetings(seed).lines(seed);
   }
 
+  /**
+   * The same world, in which users look closely while the store's watches and its answers to
+   * transactions are slow or get lost. Drawn apart from all else.
+   */
+  static List<String> drawWithCloseLooks(long seed) {
+    Random own = new Random(seed * CLOSE_LOOKS_SALT);
+    List<String> lines = new ArrayList<>(draw(seed));
+    lines.add("at 2 close_looks on");
+    lines.add("at 2 slow_watches all " + (50 + own.nextInt(400)));
+    lines.add("at 2 slow_commits " + (50 + own.nextInt(400)));
+    lines.add("at 2 lost_answers " + own.nextInt(40));
+    lines.add("at " + TROUBLES_UNTIL_S + " quick_watches");
+    lines.add("at " + TROUBLES_UNTIL_S + " slow_commits 0");
+    lines.add("at " + TROUBLES_UNTIL_S + " lost_answers 0");
+    return inOrder(lines);
+  }
+
+  /** Steps in the order of their times, behind what the world is made of. */
+  private static List<String> inOrder(List<String> lines) {
+    List<String> out = new ArrayList<>(lines);
+    out.sort(Comparator.comparingDouble(RandomMeetings::timeOf));
+    return out;
+  }
+
+  private static double timeOf(String line) {
+    return line.startsWith("at ") ? Double.parseDouble(line.split(" ", -1)[1]) : -1;
+  }
+
   private List<String> lines(long seed) {
     List<String> head = new ArrayList<>();
     double[] w = WORKERS[random.nextInt(WORKERS.length)];
--- a/src/test/java/org/sandford/scenario/Rules.java
+++ b/src/test/java/org/sandford/scenario/Rules.java
@@ -251,7 +251,13 @@
       }
       return answeredOpenOrEnded(id, job, new Answer(node, askedAt, world.now(), state));
     }
-    if (job != null && told.containsKey(id) && (status == 404 || status == 400 || status == 422)) {
+    if (job != null && status == 404) {
+      String contradiction = history.add(id, new Answer(node, askedAt, world.now(), ""));
+      if (!contradiction.isEmpty()) {
+        world.broke("forgotten", contradiction);
+      }
+    }
+    if (job != null && told.containsKey(id) && (status == 400 || status == 422)) {
       world.broke("forgotten", id + " was accepted and gets " + status + " at " + node);
     }
     return false;
--- a/src/test/java/org/sandford/scenario/RulesTest.java
+++ b/src/test/java/org/sandford/scenario/RulesTest.java
@@ -158,11 +158,22 @@
   void forgotten() {
     Scenario.Submitted job = job("wk-1");
     answered("wk-1", job, 0, 201, "queued");
-    answered("wk-1", job, 0, 404, "");
+    answered("wk-1", job, world.now() + 1, 404, "");
     answered("wk-1", job, 0, 422, "");
     broken("forgotten", "forgotten");
   }
 
+  @Test
+  void aQuestionFromBeforeTheAcceptanceMayMissTheJob() {
+    Scenario.Submitted job = job("wk-1");
+    long before = world.now();
+    answered("wk-1", job, before, 201, "queued");
+    answered("wk-1", job, before, 404, "");
+    broken();
+    answered("wk-1", job, before + 1, 404, "");
+    broken("forgotten");
+  }
+
   @Test
   void noQuestionIsAnsweredForTooLong() {
     Scenario.Submitted job = job("wk-1");
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -127,6 +127,9 @@
   private double until = 60;
   private int machinesAtStart = 1;
 
+  /** Prefix of the keys that hold the machines' parts of the assignment map. */
+  private static final String MAP_PART = "c/machines/";
+
   /** Seconds before the end in which jobs that come need not be served yet. */
   private static final double SERVED_GRACE_S = 60;
 
@@ -441,8 +444,9 @@
   }
 
   /**
-   * A controller's label; {@code leader} is the one that leads now, and {@code owner:red} the one
-   * that owns the team, both by the store, or any that runs.
+   * A controller's label; {@code leader} is the one that leads now, {@code owner:red} the one that
+   * owns the team, and {@code holder:m:1} the one that owns the machine, all by the store, or any
+   * that runs.
    */
   private String controller(String word) {
     String id;
@@ -450,6 +454,8 @@
       id = text(store.value("c/leader"), "id");
     } else if (word.startsWith("owner:")) {
       id = teamOwner(word.substring("owner:".length()));
+    } else if (word.startsWith("holder:")) {
+      id = machineOwner(host(word.substring("holder:".length())));
     } else {
       return word;
     }
@@ -463,6 +469,17 @@
     return teamsRecord == null ? "" : teamsRecord.path("t").path(team).path(0).asText();
   }
 
+  /** The life that owns the machine by the assignment map in the store, or an empty text. */
+  private String machineOwner(String machine) {
+    String owner = "";
+    for (int part = 0; store.has(MAP_PART + part); part++) {
+      JsonNode record = store.value(MAP_PART + part);
+      JsonNode place = record.path("m").path(machine);
+      owner = place.isMissingNode() ? owner : record.path("o").path(place.path(0).asInt()).asText();
+    }
+    return owner;
+  }
+
   private static String text(JsonNode record, String field) {
     return record == null ? "" : record.path(field).asText();
   }
