--- /dev/null
+++ b/src/test/java/org/sandford/state/StateClientTest.java
@@ -0,0 +1,70 @@
+package org.sandford.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.sandford.core.HttpCalls;
+import org.sandford.core.Loop;
+import org.sandford.state.StateClient.Op;
+import org.sandford.state.StateClient.Priority;
+
+/** What happens to calls beyond the store's rates. */
+class StateClientTest {
+  private static final double RPS = 100;
+  private static final int STORM = 1_000;
+
+  private final List<String> sent = new ArrayList<>();
+
+  /** Time stands still, so that nothing leaves beyond the first burst. */
+  private final Loop loop =
+      new Loop() {
+        @Override
+        public long nanos() {
+          return 1;
+        }
+
+        @Override
+        public long wallMillis() {
+          return 1;
+        }
+
+        @Override
+        public Timer after(long millis, Runnable what) {
+          return () -> {};
+        }
+
+        @Override
+        public void execute(Runnable what) {
+          what.run();
+        }
+      };
+
+  private final HttpCalls http = (address, method, path, body, timeoutMs, done) -> sent.add(path);
+  private final StateClient state = new StateClient(loop, http, "store:1", RPS, RPS);
+
+  /** Without a bound, questions waited for minutes behind those whose askers were gone. */
+  @Test
+  void readsThatWouldWaitTooLongAreAnsweredAtOnce() {
+    List<Boolean> known = new ArrayList<>();
+    for (int i = 0; i < STORM; i++) {
+      state.get("job/" + i, (entry, answered) -> known.add(answered));
+    }
+    int waiting = STORM - sent.size() - known.size();
+    assertTrue(known.stream().noneMatch(answered -> answered), "nothing is known of them");
+    assertTrue(waiting <= RPS, waiting + " reads wait");
+    assertTrue(!known.isEmpty() && !sent.isEmpty());
+  }
+
+  @Test
+  void writesWaitHoweverManyThereAre() {
+    List<Object> results = new ArrayList<>();
+    for (int i = 0; i < STORM; i++) {
+      state.txn(Map.of(), List.of(Op.remove("job/" + i)), Priority.RECORD, results::add);
+    }
+    assertEquals(List.of(), results);
+  }
+}
