--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -141,6 +141,7 @@
   private long lastTrouble;
   private long looksBefore;
   private long viewsBefore;
+  private long mapWritesBefore;
 
   /**
    * The periods of reports, leases and cancellations that a scenario file asks for, or the usual
@@ -420,6 +421,7 @@
       case "count" -> {
         looksBefore = sum(Roster::looks);
         viewsBefore = sum(Roster::taken);
+        mapWritesBefore = store.mapWrites;
       }
       case "expect" -> expect(step, w);
       default ->
@@ -952,6 +954,7 @@
                       ? Integer.MAX_VALUE
                       : (submitted.get(w.get(2)).beganAt - submitted.get(w.get(2)).since)
                           / 1_000_000_000L);
+          case "map_writes" -> String.valueOf(store.mapWrites - mapWritesBefore);
           case "gang_runs" -> String.valueOf(submitted.get(w.get(2)).gangRuns);
           case "orderly_stops" -> String.valueOf(submitted.get(w.get(2)).orderlyStops);
           case "lost_with_lease" -> String.valueOf(rules.lostWithLease);
--- a/src/test/java/org/sandford/scenario/StoreStandIn.java
+++ b/src/test/java/org/sandford/scenario/StoreStandIn.java
@@ -58,6 +58,9 @@
   /** Milliseconds that each answer takes. */
   int slowMs;
 
+  /** Puts to the assignment map's machines since the start. */
+  long mapWrites;
+
   private boolean outage;
   private long epoch;
   private long lastHold;
@@ -148,6 +151,9 @@
       items.put(key, new Item(value, epoch, hold));
     }
     log.add(new Change(key, value, epoch));
+    if (value != null && key.startsWith("c/machines")) {
+      mapWrites++;
+    }
   }
 
   @Override
