--- a/src/test/java/org/sandford/scenario/RandomMeetings.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetings.java
@@ -16,6 +16,17 @@
   private static final double TROUBLES_FROM_S = 15;
   private static final double TROUBLES_UNTIL_S = 150;
   private static final double UNTIL_S = 330;
+
+  /** How a machine is out of reach, and how that ends. */
+  private static final String[][] SPELLS = {
+    {"hang", "resume"}, {"mute", "unmute"}, {"deafen", "hears"}
+  };
+
+  /** Which controllers end. */
+  private static final String[] ENDING = {
+    "owner:red", "owner:blue", "holder:m:0", "holder:m:1", "leader", "all"
+  };
+
   private static final long CLOSE_LOOKS_SALT = 0x9E3779B97F4A7C15L;
 
   private final Random random;
@@ -48,6 +59,47 @@
     return inOrder(lines);
   }
 
+  /**
+   * Teams at their limit change hands while jobs are cancelled whose machines hang, hear nothing or
+   * reach nobody, short of their lease.
+   */
+  static List<String> drawAtTheLimit(long seed) {
+    Random own = new Random(seed);
+    double[] w = WORKERS[own.nextInt(WORKERS.length)];
+    double at = 12 + own.nextDouble() * 3;
+    List<String> lines = new ArrayList<>();
+    lines.add(String.format(Locale.ROOT, "workers %.0f %.0f %.0f", w[0], w[1], w[2]));
+    lines.addAll(List.of("seed " + seed, "team red 8 8", "team blue 8 16", "machines 2"));
+    lines.addAll(List.of("pool 8", "until 260"));
+    lines.add(
+        "at 3 submit wk-1 cpus=" + (own.nextBoolean() ? "1 tasks=8" : "4 tasks=2") + " run=300");
+    lines.add("at 3 submit wk-2 team=blue tasks=8 cpus=2 run=300");
+    for (int machine = 0; machine < 1 + own.nextInt(3); machine++) {
+      String[] spell = SPELLS[own.nextInt(SPELLS.length)];
+      lines.add(step(at + own.nextDouble(), spell[0] + " m:" + machine));
+      lines.add(step(at + 2 + own.nextDouble() * (w[1] - 4), spell[1] + " m:" + machine));
+    }
+    lines.add(step(at + own.nextDouble() * 4, "abort wk-1"));
+    lines.add(step(at + own.nextDouble() * 4, "abort wk-2"));
+    for (int crash = 0; crash < 1 + own.nextInt(2); crash++) {
+      String who = ENDING[own.nextInt(ENDING.length)];
+      lines.add(step(at + own.nextDouble() * 6, "crash " + who));
+    }
+    lines.add(step(at + 6 + own.nextDouble() * 6, "start all"));
+    lines.add(step(at + 4 + own.nextDouble() * 6, "outage cloud on"));
+    lines.add("at 70 outage cloud off");
+    for (int job = 0; job < 8; job++) {
+      String team = own.nextBoolean() ? "red" : "blue";
+      String submit = "submit wk-1" + job + " team=" + team + " tasks=" + (1 + own.nextInt(4));
+      lines.add(step(at + own.nextDouble() * 25, submit + " run=15"));
+    }
+    return inOrder(lines);
+  }
+
+  private static String step(double at, String what) {
+    return String.format(Locale.ROOT, "at %.2f %s", at, what);
+  }
+
   /** Steps in the order of their times, behind what the world is made of. */
   private static List<String> inOrder(List<String> lines) {
     List<String> out = new ArrayList<>(lines);
--- a/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
@@ -21,6 +21,8 @@
   private static final String CLOSE_LOOKS_SEEDS =
       System.getProperty("sandford.close-looks-seeds", "1-20");
 
+  private static final String LIMIT_SEEDS = System.getProperty("sandford.limit-seeds", "1-40");
+
   @TestFactory
   Stream<DynamicTest> meetings() {
     return seeds(SEEDS)
@@ -37,6 +39,16 @@
                     () -> play(seed, RandomMeetings.drawWithCloseLooks(seed))));
   }
 
+  @TestFactory
+  Stream<DynamicTest> meetingsAtTheLimit() {
+    return seeds(LIMIT_SEEDS)
+        .mapToObj(
+            seed ->
+                dynamicTest(
+                    "at the limit, seed " + seed,
+                    () -> play(seed, RandomMeetings.drawAtTheLimit(seed))));
+  }
+
   private static LongStream seeds(String range) {
     String[] ends = range.split("-", -1);
     return LongStream.rangeClosed(Long.parseLong(ends[0]), Long.parseLong(ends[ends.length - 1]));
