--- a/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.DynamicTest.dynamicTest;
 
 import java.util.List;
+import java.util.function.LongFunction;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
@@ -25,28 +26,23 @@
 
   @TestFactory
   Stream<DynamicTest> meetings() {
-    return seeds(SEEDS)
-        .mapToObj(seed -> dynamicTest("seed " + seed, () -> play(seed, RandomMeetings.draw(seed))));
+    return plays("seed ", SEEDS, RandomMeetings::draw);
   }
 
   @TestFactory
   Stream<DynamicTest> meetingsWithCloseLooks() {
-    return seeds(CLOSE_LOOKS_SEEDS)
-        .mapToObj(
-            seed ->
-                dynamicTest(
-                    "close looks, seed " + seed,
-                    () -> play(seed, RandomMeetings.drawWithCloseLooks(seed))));
+    return plays("close looks, seed ", CLOSE_LOOKS_SEEDS, RandomMeetings::drawWithCloseLooks);
   }
 
   @TestFactory
   Stream<DynamicTest> meetingsAtTheLimit() {
-    return seeds(LIMIT_SEEDS)
-        .mapToObj(
-            seed ->
-                dynamicTest(
-                    "at the limit, seed " + seed,
-                    () -> play(seed, RandomMeetings.drawAtTheLimit(seed))));
+    return plays("at the limit, seed ", LIMIT_SEEDS, RandomMeetings::drawAtTheLimit);
+  }
+
+  private static Stream<DynamicTest> plays(
+      String name, String range, LongFunction<List<String>> draw) {
+    return seeds(range)
+        .mapToObj(seed -> dynamicTest(name + seed, () -> play(seed, draw.apply(seed))));
   }
 
   private static LongStream seeds(String range) {
