--- a/src/test/java/org/sandford/scenario/RandomMeetings.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetings.java
@@ -61,7 +61,8 @@
 
   /**
    * Teams at their limit change hands while jobs are cancelled whose machines hang, hear nothing or
-   * reach nobody, short of their lease.
+   * reach nobody, short of their lease. How many machines and controllers that meets is drawn anew
+   * after each, so that fewer are likelier.
    */
   static List<String> drawAtTheLimit(long seed) {
     Random own = new Random(seed);
--- a/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
+++ b/src/test/java/org/sandford/scenario/RandomMeetingsTest.java
@@ -14,7 +14,8 @@
 /**
  * Plays meetings of troubles drawn by the seeds below under the same rules as the scenarios. More
  * of them by hand: {@code mvn test -Dtest=RandomMeetingsTest -Dsandford.seeds=1000-1999}, and with
- * {@code -Dsandford.close-looks-seeds=1000-1999} more of those in which users look closely.
+ * {@code -Dsandford.close-looks-seeds=1000-1999} more of those in which users look closely, with
+ * {@code -Dsandford.limit-seeds=1000-1999} of teams at their limit.
  */
 class RandomMeetingsTest {
   private static final String SEEDS = System.getProperty("sandford.seeds", "1-40");
