--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -214,6 +214,18 @@
    */
   public static final int FORWARD_MS = 700;
 
+  /**
+   * Milliseconds after which a poll is answered with 503 when nothing surer is known: users wait 2
+   * s for an answer.
+   */
+  public static final int POLL_ANSWER_MS = 1_600;
+
+  /**
+   * Milliseconds after which a submission or a cancellation is answered with 503 when its outcome
+   * is not known: users wait 5 s for an answer.
+   */
+  public static final int CHANGE_ANSWER_MS = 4_000;
+
   /** Seconds in {@code Retry-After} when authority is missing: about the time of a takeover. */
   public static final int RETRY_AUTHORITY_S = 1;
 
--- a/src/main/java/org/sandford/api/Api.java
+++ b/src/main/java/org/sandford/api/Api.java
@@ -5,9 +5,12 @@
 import java.nio.ByteBuffer;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import org.HdrHistogram.Histogram;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
+import org.sandford.audit.Basis;
 import org.sandford.cancel.Cancellations;
 import org.sandford.capacity.Capacity;
 import org.sandford.core.Answer;
@@ -15,7 +18,6 @@
 import org.sandford.core.Loop;
 import org.sandford.job.Finals;
 import org.sandford.job.JobSpec;
-import org.sandford.job.JobStatus;
 import org.sandford.job.Jobs;
 import org.sandford.job.Lookup;
 import org.sandford.machine.Fleet;
@@ -36,7 +38,7 @@
   private static final String POLL = "poll";
   private static final String ABORT = "abort";
 
-  private record Forwarded(Consumer<Answer> answer, Loop.Timer timer) {}
+  private record Forwarded(String owner, Consumer<Answer> answer, Loop.Timer timer) {}
 
   private final Loop loop;
   private final Settings settings;
@@ -49,6 +51,7 @@
   private final Capacity capacity;
   private final Cancellations cancellations;
   private final MemberVersions versions;
+  private final AuditLog audit;
   private final Map<Long, Forwarded> forwarded = new HashMap<>();
   private final Histogram submitMillis = new Histogram(60_000, 2);
   private long calls;
@@ -64,7 +67,8 @@
       Lookup lookup,
       Capacity capacity,
       Cancellations cancellations,
-      MemberVersions versions) {
+      MemberVersions versions,
+      AuditLog audit) {
     this.loop = loop;
     this.settings = settings;
     this.share = share;
@@ -76,6 +80,7 @@
     this.capacity = capacity;
     this.cancellations = cancellations;
     this.versions = versions;
+    this.audit = audit;
   }
 
   /** Times from a submission's arrival here to its answer, in milliseconds. */
@@ -92,7 +97,7 @@
     } else if (path.equals("/up")) {
       only("GET", method, answer, () -> answer.accept(up()));
     } else if (path.equals("/work")) {
-      only("POST", method, answer, () -> submit(body, told(timed(answer))));
+      only("POST", method, answer, () -> submit(Json.read(body), answer));
     } else if (path.startsWith("/work/")) {
       String rest = path.substring("/work/".length());
       boolean abort = rest.endsWith("/abort");
@@ -100,9 +105,9 @@
       if (!JobParser.isId(id)) {
         answer.accept(Answer.refuse(404, "no job has this id"));
       } else if (abort) {
-        only("POST", method, answer, () -> abort(id, told(answer)));
+        only("POST", method, answer, () -> abort(id, toUser(ABORT, id, answer)));
       } else {
-        only("GET", method, answer, () -> poll(id, told(answer)));
+        only("GET", method, answer, () -> poll(id, toUser(POLL, id, answer)));
       }
     } else {
       answer.accept(Answer.refuse(404, "there is nothing at " + path));
@@ -118,15 +123,46 @@
   }
 
   /**
-   * Every answer to a user goes through here: the other controllers hear of a cancellation before
-   * its user does.
+   * Every answer to a user about a job goes through here: it comes in time, is no older than what
+   * is known here when it leaves, and the other controllers hear of a cancellation before the user
+   * does.
    */
-  private Consumer<Answer> told(Consumer<Answer> answer) {
-    return a -> {
-      if (a.status() == 200 && a.body().path("status").asText().equals("aborted")) {
-        cancellations.confirmed(a.body().path("name_id").asText());
-      }
-      answer.accept(a);
+  private Consumer<Answer> toUser(String verb, String id, Consumer<Answer> answer) {
+    int boundMs = verb.equals(POLL) ? Constants.POLL_ANSWER_MS : Constants.CHANGE_ANSWER_MS;
+    return bounded(boundMs, given -> answer.accept(leaving(verb, id, given)));
+  }
+
+  private Answer leaving(String verb, String id, Answer given) {
+    boolean open = given.status() == 201 || (given.status() == 200 && !isEnd(given.state()));
+    Answer newest = open ? jobs.answers().ended(id).orElse(given) : given;
+    if (newest.status() == 200 && newest.state().equals("aborted")) {
+      cancellations.confirmed(id);
+    }
+    audit.answered(verb, id, newest.status(), newest.state(), newest.basis());
+    return newest;
+  }
+
+  private static boolean isEnd(String state) {
+    return state.equals("done") || state.equals("aborted");
+  }
+
+  /** Passes on the first answer; when none has come in time, that is said with when to return. */
+  private Consumer<Answer> bounded(int boundMs, Consumer<Answer> answer) {
+    boolean[] given = {false};
+    Consumer<Answer> once =
+        first -> {
+          if (!given[0]) {
+            given[0] = true;
+            answer.accept(first);
+          }
+        };
+    Loop.Timer timer =
+        loop.after(
+            boundMs,
+            () -> once.accept(Answer.later(503, "no answer in time", Constants.RETRY_AUTHORITY_S)));
+    return first -> {
+      timer.cancel();
+      once.accept(first);
     };
   }
 
@@ -149,8 +185,8 @@
   // --- submissions
   // -------------------------------------------------------------------------------------
 
-  private void submit(byte[] bytes, Consumer<Answer> answer) {
-    JsonNode body = Json.read(bytes);
+  private void submit(JsonNode body, Consumer<Answer> user) {
+    Consumer<Answer> answer = toUser(SUBMIT, JobParser.idOf(body), timed(user));
     JobSpec spec;
     try {
       spec = JobParser.parse(body);
@@ -191,29 +227,25 @@
       answer.accept(refusal);
       return;
     }
-    pollStored(
-        id,
-        found -> {
-          if (found.status() == 404) {
-            answer.accept(refusal);
-          } else {
-            answer.accept(found);
-          }
-        });
+    jobs.answers()
+        .fromStore(
+            id,
+            found -> {
+              if (found.status() == 404) {
+                answer.accept(refusal);
+              } else {
+                answer.accept(found);
+              }
+            });
   }
 
   // --- polls and cancellations
   // ---------------------------------------------------------------------------
 
   private void poll(String id, Consumer<Answer> answer) {
-    String ended = finals.get(id);
-    if (ended != null) {
-      answer.accept(Answer.of(200, JobStatus.finalStatus(id, ended)));
-      return;
-    }
-    Answer own = jobs.poll(id);
-    if (own != null) {
-      answer.accept(own);
+    Optional<Answer> known = jobs.answers().known(id);
+    if (known.isPresent()) {
+      answer.accept(known.get());
       return;
     }
     String team = lookup.teamOf(id);
@@ -227,40 +259,16 @@
             if (given.status() == 200) {
               answer.accept(given);
             } else {
-              pollStored(id, answer);
+              jobs.answers().fromStore(id, answer);
             }
           },
-          () -> pollStored(id, answer));
+          () -> jobs.answers().fromStore(id, answer));
     } else {
-      pollStored(id, answer);
+      jobs.answers().fromStore(id, answer);
     }
   }
 
-  /** Answers from a fresh read of the store, which alone may say that there is no such job. */
-  private void pollStored(String id, Consumer<Answer> answer) {
-    lookup.find(
-        id,
-        found ->
-            answer.accept(
-                switch (found.kind()) {
-                  case FINAL -> Answer.of(200, JobStatus.finalStatus(id, found.state()));
-                  case OPEN -> {
-                    Answer own = jobs.poll(id);
-                    yield own != null
-                        ? own
-                        : Answer.of(200, JobStatus.storedStatus(id, found.record()));
-                  }
-                  case NONE -> Answer.refuse(404, "no job has this id");
-                  case UNKNOWN -> Answer.later(503, "the job's state is not known just now", 1);
-                }));
-  }
-
   private void abort(String id, Consumer<Answer> answer) {
-    String ended = finals.get(id);
-    if (ended != null) {
-      answer.accept(Answer.of(200, JobStatus.finalStatus(id, ended)));
-      return;
-    }
     if (jobs.abort(id, answer)) {
       return;
     }
@@ -273,7 +281,7 @@
         id,
         found -> {
           switch (found.kind()) {
-            case FINAL -> answer.accept(Answer.of(200, JobStatus.finalStatus(id, found.state())));
+            case FINAL -> jobs.answers().ended(id).ifPresent(answer);
             case OPEN -> forwardAbort(id, found.team(), answer);
             case NONE -> answer.accept(Answer.refuse(404, "no job has this id"));
             case UNKNOWN ->
@@ -315,7 +323,7 @@
                 unreachable.run();
               }
             });
-    forwarded.put(call.call, new Forwarded(answer, timer));
+    forwarded.put(call.call, new Forwarded(label, answer, timer));
   }
 
   /** A call that another controller forwarded to this one. */
@@ -335,15 +343,11 @@
         call.body.duplicate().get(bytes);
         jobs.submit(JobSpec.read(call.job, Json.read(bytes).path("s")), answer);
       }
-      case POLL -> {
-        Answer own = jobs.poll(call.job);
-        String ended = finals.get(call.job);
-        if (ended != null) {
-          answer.accept(Answer.of(200, JobStatus.finalStatus(call.job, ended)));
-        } else {
-          answer.accept(own != null ? own : Answer.later(503, "not known here", 1));
-        }
-      }
+      case POLL ->
+          answer.accept(
+              jobs.answers()
+                  .known(call.job)
+                  .orElseGet(() -> Answer.later(503, "only the store can tell", 1)));
       case ABORT -> {
         if (!jobs.abort(call.job, answer)) {
           abortUnknown(call.job, answer);
@@ -354,17 +358,17 @@
   }
 
   private void abortUnknown(String id, Consumer<Answer> answer) {
-    pollStored(
-        id,
-        found -> {
-          String status = found.body().path("status").asText();
-          if (found.status() == 404 || status.equals("done") || status.equals("aborted")) {
-            answer.accept(found);
-          } else {
-            answer.accept(
-                Answer.later(503, "the job's owner is not ready", Constants.RETRY_AUTHORITY_S));
-          }
-        });
+    jobs.answers()
+        .fromStore(
+            id,
+            found -> {
+              if (found.status() == 404 || isEnd(found.state())) {
+                answer.accept(found);
+              } else {
+                answer.accept(
+                    Answer.later(503, "the job's owner is not ready", Constants.RETRY_AUTHORITY_S));
+              }
+            });
   }
 
   public void answered(UserAnswer reply) {
@@ -376,9 +380,10 @@
     JsonNode body = Json.read(reply.body);
     ObjectNode object = body.isObject() ? (ObjectNode) body : Json.object();
     String status = object.path("status").asText();
-    if (reply.status == 200 && (status.equals("done") || status.equals("aborted"))) {
+    if (reply.status == 200 && isEnd(status)) {
       finals.put(object.path("name_id").asText(), Json.object().put("s", status));
     }
-    call.answer.accept(new Answer(reply.status, object, reply.retryAfterS));
+    Basis basis = new Basis.Forwarded(call.owner);
+    call.answer.accept(new Answer(reply.status, object, reply.retryAfterS, basis));
   }
 }
--- /dev/null
+++ b/src/main/java/org/sandford/audit/AuditLog.java
@@ -0,0 +1,152 @@
+package org.sandford.audit;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes one line for each decision that the users' rules depend on, and counts the same. A line is
+ * {@code EVENT key=value ...} in a fixed order, without spaces in values, under the logger {@code
+ * org.sandford.audit.AuditLog}. Changes of leadership and of ownership are few and stand at {@code
+ * info}; reads, answers, starts and stops come many times a second and stand at {@code debug}. The
+ * counters are kept at every level.
+ */
+public final class AuditLog {
+  private static final Logger log = LoggerFactory.getLogger(AuditLog.class);
+
+  /** How something stored became known here. */
+  public enum Via {
+    WATCH,
+    READ,
+    PEER
+  }
+
+  /** The right by which a machine's owner acts. */
+  public record Right(String session, long token, long machineGeneration) {
+    private String text() {
+      return "session=" + session + " token=" + token + " machine_generation=" + machineGeneration;
+    }
+  }
+
+  private final Map<String, Long> counts = new TreeMap<>();
+
+  private void count(String event) {
+    counts.merge(event, 1L, Long::sum);
+  }
+
+  /** The counters since the start as {@code key=value} pairs in the order of their names. */
+  public String counters() {
+    StringBuilder text = new StringBuilder();
+    counts.forEach(
+        (event, number) ->
+            text.append(text.isEmpty() ? "" : " ").append(event).append('=').append(number));
+    return text.toString();
+  }
+
+  /** Another life leads now, or none ({@code leader} is empty). */
+  public void leader(String leader, long revision) {
+    count("leaders");
+    log.info("leader id={} revision={}", leader.isEmpty() ? "none" : leader, revision);
+  }
+
+  /** This controller owns the team from now on. */
+  public void owns(String team, long generation, String session, long mapRevision) {
+    count("teams_gained");
+    log.info(
+        "own team={} generation={} session={} map_revision={}",
+        team,
+        generation,
+        session,
+        mapRevision);
+  }
+
+  /** This controller owns the team no longer. */
+  public void disowns(String team, long generation, String why) {
+    count("teams_lost");
+    log.info("disown team={} generation={} why={}", team, generation, why);
+  }
+
+  /** A job's end became known here. */
+  public void endKnown(String job, String state, Via via, long revision) {
+    count(
+        switch (via) {
+          case WATCH -> "ends_by_watch";
+          case READ -> "ends_by_read";
+          case PEER -> "ends_by_peer";
+        });
+    log.debug("end job={} state={} via={} revision={}", job, state, via, revision);
+  }
+
+  /** The open jobs were listed; {@code epoch} is the store's revision at the first page. */
+  public void listed(int jobs, long epoch, double tookMs) {
+    count("listings");
+    log.debug("list open_jobs={} epoch={} took_ms={}", jobs, epoch, tookMs);
+  }
+
+  /** A job's final record leaves for the store. */
+  public void endLeaves(String job, String state, long recordRevision, long teamsRevision) {
+    count("ends_written");
+    log.debug(
+        "write_end job={} state={} record_revision={} teams_revision={}",
+        job,
+        state,
+        recordRevision,
+        teamsRevision);
+  }
+
+  /** A user is answered. */
+  public void answered(String verb, String job, int status, String state, Basis basis) {
+    count("answers_" + basis.kind());
+    if (log.isDebugEnabled()) {
+      log.debug(
+          "answer verb={} job={} status={} state={} basis={} {}",
+          verb,
+          job,
+          status,
+          state.isEmpty() ? "none" : state,
+          basis.kind(),
+          basis.detail());
+    }
+  }
+
+  /** A team's owner asks a machine's owner to start a task. */
+  public void startAsked(
+      String job, int task, long attempt, String machine, long teamGeneration, String session) {
+    count("starts_asked");
+    log.debug(
+        "ask_start job={} task={} attempt={} machine={} team_generation={} session={}",
+        job,
+        task,
+        attempt,
+        machine,
+        teamGeneration,
+        session);
+  }
+
+  /** A machine's owner takes a start. */
+  public void startTaken(String job, int task, long attempt, String machine, Right right) {
+    count("starts_taken");
+    ordered("take_start", job, task, attempt, machine, right);
+  }
+
+  /** A machine's owner stops a task. */
+  public void stopped(String job, int task, long attempt, String machine, Right right) {
+    count("stops");
+    ordered("stop", job, task, attempt, machine, right);
+  }
+
+  private static void ordered(
+      String event, String job, int task, long attempt, String machine, Right right) {
+    if (log.isDebugEnabled()) {
+      log.debug(
+          "{} job={} task={} attempt={} machine={} {}",
+          event,
+          job,
+          task,
+          attempt,
+          machine,
+          right.text());
+    }
+  }
+}
--- a/src/main/java/org/sandford/core/Controller.java
+++ b/src/main/java/org/sandford/core/Controller.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.sandford.Constants;
 import org.sandford.api.Api;
+import org.sandford.audit.AuditLog;
 import org.sandford.cancel.Cancellations;
 import org.sandford.capacity.Capacity;
 import org.sandford.cloud.CloudClient;
@@ -61,6 +62,7 @@
   private final Capacity capacity;
   private final MemberVersions versions;
   private final Api api;
+  private final AuditLog audit = new AuditLog();
   private MapKnown mapKnown = new MapKnown(0L, 0L);
 
   public Controller(Loop loop, Settings settings, HttpCalls http, PeerTransport peers) {
@@ -72,9 +74,9 @@
             loop, http, settings.state().toString(), facts.stateRps(), facts.stateWriteRps());
     CloudClient cloud = new CloudClient(loop, http, settings.cloud().toString(), facts.cloudRps());
     finals = new Finals(loop);
-    JobStore store = new JobStore(loop, state);
-    Lookup lookup = new Lookup(state, finals);
-    share = new Share(loop, settings, state);
+    JobStore store = new JobStore(loop, state, audit);
+    Lookup lookup = new Lookup(state, finals, audit);
+    share = new Share(loop, settings, state, audit);
     links = new PeerLinks(loop, settings, peers, share::incarnation);
     cancellations = new Cancellations(loop, settings, links, share, share::id);
     roster = new Roster(loop, share);
@@ -89,7 +91,8 @@
             store,
             this::flavor,
             finals::contains,
-            roster);
+            roster,
+            audit);
     jobs =
         new Jobs(
             loop,
@@ -101,7 +104,8 @@
             store,
             finals,
             lookup,
-            this::flavor);
+            this::flavor,
+            audit);
     capacity = new Capacity(loop, settings, share, cloud, links, roster, jobs::demand);
     versions = new MemberVersions(loop, settings, state);
     api =
@@ -116,7 +120,8 @@
             lookup,
             capacity,
             cancellations,
-            versions);
+            versions,
+            audit);
   }
 
   private org.sandford.cloud.Flavor flavor(String kind) {
@@ -170,6 +175,7 @@
         share.leaderLabel(),
         api.submitMillis().getValueAtPercentile(99));
     api.submitMillis().reset();
+    log.info("audit counters since the start: {}", audit.counters());
   }
 
   // --- the share
@@ -192,6 +198,7 @@
   /** Another controller told a user so; the store's watch may tell the same sooner or later. */
   private void cancelled(String job) {
     if (!finals.contains(job)) {
+      audit.endKnown(job, "aborted", AuditLog.Via.PEER, 0);
       finalSeen(job, Finals.ABORTED);
     }
   }
--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -132,6 +132,18 @@
   RecordWriter.Write progress;
 
   boolean writing;
+
+  /** What is known here of the write that ends the job. */
+  private enum EndWrite {
+    /** None is under way, and none that was can still be applied. */
+    NONE,
+    /** It has left for the store; the answer is awaited. */
+    UNDER_WAY,
+    /** One got no answer: it may have been applied, or may yet be. */
+    UNCONFIRMED
+  }
+
+  private EndWrite endWrite = EndWrite.NONE;
   boolean started;
   boolean ranOnce;
 
@@ -186,6 +198,30 @@
     phase = next;
   }
 
+  /** The write that ends the job leaves for the store. */
+  void endLeaves() {
+    if (endWrite == EndWrite.NONE) {
+      endWrite = EndWrite.UNDER_WAY;
+    }
+  }
+
+  /** The write that left last was surely not applied; one without an answer before it still may. */
+  void endRejected() {
+    if (endWrite == EndWrite.UNDER_WAY) {
+      endWrite = EndWrite.NONE;
+    }
+  }
+
+  /** The write that left last got no answer. */
+  void endUnconfirmed() {
+    endWrite = EndWrite.UNCONFIRMED;
+  }
+
+  /** Whether others may read the job's end from the store although it is not known here yet. */
+  boolean endMayBeStored() {
+    return endWrite != EndWrite.NONE;
+  }
+
   /** Notes why its tasks wait, for its user and for the log. */
   void waitsBecause(WaitReason reason) {
     if (!reason.equals(waitReason)) {
--- /dev/null
+++ b/src/main/java/org/sandford/job/JobAnswers.java
@@ -0,0 +1,85 @@
+package org.sandford.job;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.sandford.audit.Basis;
+import org.sandford.core.Answer;
+
+/**
+ * The one place that decides what may be said of a job that was accepted. An answer must not be
+ * older than any that some controller has given before the question came, so it rests on one of
+ * three things:
+ *
+ * <ul>
+ *   <li>a stored end, which never changes;
+ *   <li>the owner's memory, while nobody but the owner can change the job's record, and the owner
+ *       itself has no write under way that ends the job;
+ *   <li>a read of the store that began after the question came.
+ * </ul>
+ */
+public final class JobAnswers {
+  private static final Basis REMEMBERED_END = new Basis.RememberedEnd();
+
+  private final OwnedJobs owned;
+  private final Finals finals;
+  private final Lookup lookup;
+
+  JobAnswers(OwnedJobs owned, Finals finals, Lookup lookup) {
+    this.owned = owned;
+    this.finals = finals;
+    this.lookup = lookup;
+  }
+
+  /** The answer about a job whose end is remembered here; empty when none is. */
+  public Optional<Answer> ended(String id) {
+    String state = finals.get(id);
+    if (state != null) {
+      return Optional.of(Answer.of(200, JobStatus.finalStatus(id, state), REMEMBERED_END));
+    }
+    Job job = owned.job(id);
+    return job == null || !job.phase().over()
+        ? Optional.empty()
+        : Optional.of(Answer.of(200, job.status(), REMEMBERED_END));
+  }
+
+  /** What may be said without asking anybody; empty when only the store can tell. */
+  public Optional<Answer> known(String id) {
+    Optional<Answer> ended = ended(id);
+    return ended.isPresent() ? ended : fromMemory(id);
+  }
+
+  private Optional<Answer> fromMemory(String id) {
+    Job job = owned.job(id);
+    // While its final write is under way the job may have ended for all who read the store, and
+    // whose answers to that can be quicker than the writer's own.
+    if (job == null
+        || job.phase() == Job.Phase.STORING
+        || job.endMayBeStored()
+        || owned.cannotSpeakFor(job.spec.team()) != null) {
+      return Optional.empty();
+    }
+    return Optional.of(Answer.of(200, job.status(), owned.memory(job.spec.team())));
+  }
+
+  /**
+   * Answers from a read of the store that begins now; the store alone may say that there is no such
+   * job. Without its answer a 503 follows within the store's call timeout.
+   */
+  public void fromStore(String id, Consumer<Answer> answer) {
+    lookup.find(id, found -> answer.accept(of(id, found)));
+  }
+
+  private Answer of(String id, Lookup.Found found) {
+    Basis basis = new Basis.StoreRead(found.revision());
+    return switch (found.kind()) {
+      case FINAL -> Answer.of(200, JobStatus.finalStatus(id, found.state()), basis);
+      case OPEN -> {
+        ObjectNode stored = JobStatus.storedStatus(id, found.record());
+        yield known(id).orElseGet(() -> Answer.of(200, stored, basis));
+      }
+      case NONE -> Answer.refuse(404, "no job has this id");
+      case UNKNOWN -> Answer.later(503, "the job's state is not known just now", 1);
+    };
+  }
+}
--- a/src/main/java/org/sandford/job/JobRecords.java
+++ b/src/main/java/org/sandford/job/JobRecords.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
 import org.sandford.core.Answer;
 import org.sandford.core.Loop;
 import org.sandford.settings.Settings;
@@ -41,6 +42,7 @@
   private final OwnedJobs owned;
   private final RecordWriter writer;
   private final Lookup lookup;
+  private final AuditLog audit;
   private final Stored ends;
 
   JobRecords(
@@ -50,6 +52,7 @@
       OwnedJobs owned,
       RecordWriter writer,
       Lookup lookup,
+      AuditLog audit,
       Stored ends) {
     this.loop = loop;
     this.settings = settings;
@@ -57,6 +60,7 @@
     this.owned = owned;
     this.writer = writer;
     this.lookup = lookup;
+    this.audit = audit;
     this.ends = ends;
   }
 
@@ -103,23 +107,42 @@
   private void writeFinal(Job job, String state) {
     job.writing = true;
     String id = job.spec.id();
+    long teamsRevision = share.teams().revision();
     writer.write(
         new RecordWriter.Write(
             recordConditions(job),
             List.of(
                 Op.remove(JobStore.OPEN + id), Op.put(JobStore.FINAL + id, job.finalRecord(state))),
             RecordWriter.Kind.END,
-            result -> {
-              job.writing = false;
-              if (!owned.holds(job)) {
-                return;
-              }
-              if (result.outcome() == Outcome.DONE) {
-                ends.ended(job, state);
-              } else {
-                wroteBadly(job, result);
-              }
-            }));
+            () -> endLeaves(job, state, teamsRevision),
+            result -> wroteFinal(job, state, result)));
+  }
+
+  private void endLeaves(Job job, String state, long teamsRevision) {
+    job.endLeaves();
+    audit.endLeaves(job.spec.id(), state, job.revision, teamsRevision);
+  }
+
+  private void wroteFinal(Job job, String state, Result result) {
+    job.writing = false;
+    if (!owned.holds(job)) {
+      return;
+    }
+    switch (result.outcome()) {
+      case DONE -> ends.ended(job, state);
+      case UNKNOWN -> {
+        job.endUnconfirmed();
+        answerAborters(
+            job,
+            Answer.later(
+                503, "it is not known whether the change was stored", Constants.RETRY_AUTHORITY_S));
+        wroteBadly(job, result);
+      }
+      default -> {
+        job.endRejected();
+        wroteBadly(job, result);
+      }
+    }
   }
 
   private void writeProgress(Job job) {
--- a/src/main/java/org/sandford/job/JobStore.java
+++ b/src/main/java/org/sandford/job/JobStore.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
 import org.sandford.core.Loop;
 import org.sandford.state.StateClient;
 import org.sandford.state.StateClient.Entry;
@@ -20,12 +21,14 @@
 
   private final Loop loop;
   private final StateClient state;
+  private final AuditLog audit;
   private List<Consumer<Map<String, Entry>>> next = new ArrayList<>();
   private boolean listing;
 
-  public JobStore(Loop loop, StateClient state) {
+  public JobStore(Loop loop, StateClient state, AuditLog audit) {
     this.loop = loop;
     this.state = state;
+    this.audit = audit;
   }
 
   /** The spec in an open job's record. */
@@ -47,6 +50,7 @@
       return;
     }
     listing = true;
+    long beganAt = loop.nanos();
     List<Consumer<Map<String, Entry>>> waiting = next;
     next = new ArrayList<>();
     state.list(
@@ -58,6 +62,7 @@
             loop.after(Constants.STATE_RETRY_MS, this::list);
             return;
           }
+          audit.listed(entries.size(), epoch, (loop.nanos() - beganAt) / 1e6);
           Map<String, Entry> jobs = new HashMap<>();
           entries.forEach(e -> jobs.put(e.key().substring(OPEN.length()), e));
           waiting.forEach(consumer -> consumer.accept(jobs));
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -7,10 +7,12 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
 import org.sandford.cloud.Flavor;
 import org.sandford.core.Answer;
 import org.sandford.core.Loop;
@@ -56,10 +58,12 @@
   private final Roster roster;
   private final JobStore store;
   private final Finals finals;
+  private final AuditLog audit;
   private final Planner planner = new Planner();
   private final OwnedJobs owned;
   private final Map<String, Team> teams;
   private final Map<String, Job> jobs;
+  private final JobAnswers answers;
   private final Submissions submissions;
   private final JobRecords records;
   private final RoomBook rooms;
@@ -90,7 +94,8 @@
       JobStore store,
       Finals finals,
       Lookup lookup,
-      Function<String, Flavor> flavors) {
+      Function<String, Flavor> flavors,
+      AuditLog audit) {
     this.loop = loop;
     this.settings = settings;
     this.share = share;
@@ -98,14 +103,17 @@
     this.roster = roster;
     this.store = store;
     this.finals = finals;
+    this.audit = audit;
     this.rooms = new RoomBook(roster, share, links, settings.label(), flavors);
     this.owned = new OwnedJobs(share, lookup, rooms);
     this.teams = owned.teams();
     this.jobs = owned.jobs();
+    this.answers = new JobAnswers(owned, finals, lookup);
     this.submissions =
         new Submissions(
-            loop, settings, share, owned, writer, store, finals, lookup, new TakenJobs());
-    this.records = new JobRecords(loop, settings, share, owned, writer, lookup, new StoredJobs());
+            loop, settings, share, owned, writer, store, finals, lookup, answers, new TakenJobs());
+    this.records =
+        new JobRecords(loop, settings, share, owned, writer, lookup, audit, new StoredJobs());
     this.preemptor = new Preemptor(loop, settings, roster, links, planner);
     this.gangs = new Gangs(loop, settings.facts(), this::stop);
   }
@@ -169,15 +177,14 @@
         lose(team);
       }
     }
-    boolean gained = false;
+    List<Team> gained = new ArrayList<>();
     for (Map.Entry<String, TeamOwner> e : map.entrySet()) {
       if (e.getValue().owner().equals(share.id()) && !teams.containsKey(e.getKey())) {
-        gain(e.getKey(), e.getValue().generation());
-        gained = true;
+        gained.add(gain(e.getKey(), e.getValue().generation()));
       }
     }
-    if (gained) {
-      load();
+    if (!gained.isEmpty()) {
+      load(gained);
     }
     machinesChanged();
     settleAnew();
@@ -210,7 +217,7 @@
     }
   }
 
-  private void gain(String name, long generation) {
+  private Team gain(String name, long generation) {
     Settings.Team limits = settings.facts().teams().get(name);
     if (limits == null) {
       limits = new Settings.Team(name, 0, 0, 0, 0);
@@ -218,8 +225,10 @@
     Team team = new Team(name, generation, limits);
     teams.put(name, team);
     log.info("team {} is ours, generation {}", name, generation);
+    audit.owns(name, generation, share.id(), share.teams().revision());
     claimAt(settings.label(), team);
     settings.others().forEach(other -> claimAt(other.label(), team));
+    return team;
   }
 
   private void claimAt(String label, Team team) {
@@ -228,6 +237,7 @@
 
   private void lose(Team team) {
     log.info("team {} is no longer ours", team.name);
+    audit.disowns(team.name, team.generation, "map");
     teams.remove(team.name);
     for (Job job : team.jobs.values()) {
       jobs.remove(job.spec.id());
@@ -245,16 +255,22 @@
       return false;
     }
     log.info("team {} is given up", name);
+    audit.disowns(name, generation, "yield");
     team.becomes(Team.Phase.YIELDED);
     return true;
   }
 
-  private void load() {
+  /**
+   * Reads the open jobs of teams that were just gained. A team that is gained while the listing is
+   * under way needs one of its own: this one may show jobs that the former owner ended since, and
+   * lack jobs that it accepted and started.
+   */
+  private void load(List<Team> gained) {
     store.openJobs(
         open -> {
           Set<String> adopted = new HashSet<>();
-          for (Team team : teams.values()) {
-            if (team.phase() != Team.Phase.LOADING) {
+          for (Team team : gained) {
+            if (teams.get(team.name) != team || team.phase() != Team.Phase.LOADING) {
               continue;
             }
             open.forEach(
@@ -726,27 +742,22 @@
     submissions.takeAdded(id, team);
   }
 
-  /** The state of a job of ours, or null when the caller has to ask the store. */
-  public Answer poll(String id) {
-    Job job = jobs.get(id);
-    if (job == null
-        || job.phase() == Job.Phase.STORING
-        || owned.cannotSpeakFor(job.spec.team()) != null) {
-      return null;
-    }
-    return Answer.of(200, job.status());
+  /** What may be said of jobs, of this controller's teams and others. */
+  public JobAnswers answers() {
+    return answers;
   }
 
   /** Cancels a job of ours; false when it is not known here. */
   public boolean abort(String id, Consumer<Answer> answer) {
+    Optional<Answer> ended = answers.ended(id);
+    if (ended.isPresent()) {
+      answer.accept(ended.get());
+      return true;
+    }
     Job job = jobs.get(id);
     if (job == null) {
       return false;
     }
-    if (job.phase().over()) {
-      answer.accept(Answer.of(200, job.status()));
-      return true;
-    }
     Answer refusal = owned.cannotSpeakFor(job.spec.team());
     if (refusal != null || job.phase() == Job.Phase.STORING) {
       answer.accept(
@@ -801,7 +812,7 @@
     job.becomes(state.equals("done") ? Job.Phase.DONE : Job.Phase.ABORTED);
     log.debug("{} is {}", job.spec.id(), state);
     finals.put(job.spec.id(), job.finalRecord(state));
-    JobRecords.answerAborters(job, Answer.of(200, JobStatus.finalStatus(job.spec.id(), state)));
+    answers.ended(job.spec.id()).ifPresent(answer -> JobRecords.answerAborters(job, answer));
     for (Placed p : job.placed()) {
       stop(job, p, 0);
     }
@@ -1026,6 +1037,7 @@
                 now);
         place(job, p);
         JobSpec s = job.spec;
+        audit.startAsked(s.id(), task, p.attempt, p.machine, team.generation, share.id());
         boolean sent =
             links.ask(
                 owner,
--- a/src/main/java/org/sandford/job/Lookup.java
+++ b/src/main/java/org/sandford/job/Lookup.java
@@ -5,6 +5,7 @@
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.util.function.Consumer;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
 import org.sandford.state.StateClient;
 
 /**
@@ -27,12 +28,14 @@
 
   private final StateClient state;
   private final Finals finals;
+  private final AuditLog audit;
   private final Cache<String, String> teams =
       Caffeine.newBuilder().maximumSize(Constants.TEAMS_CACHED).executor(Runnable::run).build();
 
-  public Lookup(StateClient state, Finals finals) {
+  public Lookup(StateClient state, Finals finals, AuditLog audit) {
     this.state = state;
     this.finals = finals;
+    this.audit = audit;
   }
 
   /** The team of a job, if it is remembered; it never changes. */
@@ -71,6 +74,8 @@
             done.accept(NONE);
           } else {
             finals.put(job, ended.value());
+            audit.endKnown(
+                job, ended.value().path("s").asText(), AuditLog.Via.READ, ended.revision());
             done.accept(
                 new Found(
                     Kind.FINAL,
--- a/src/main/java/org/sandford/job/OwnedJobs.java
+++ b/src/main/java/org/sandford/job/OwnedJobs.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.sandford.Constants;
+import org.sandford.audit.Basis;
 import org.sandford.core.Answer;
 import org.sandford.share.Share;
 
@@ -69,6 +70,11 @@
     return null;
   }
 
+  /** The right by which this controller answers from memory for a team of its own. */
+  Basis memory(String team) {
+    return new Basis.Memory(share.id(), teams.get(team).generation);
+  }
+
   void discard(Job job) {
     jobs.remove(job.spec.id(), job);
     job.placed().forEach(rooms::unplaced);
--- a/src/main/java/org/sandford/job/Submissions.java
+++ b/src/main/java/org/sandford/job/Submissions.java
@@ -5,9 +5,11 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.sandford.Constants;
+import org.sandford.audit.Basis;
 import org.sandford.core.Answer;
 import org.sandford.core.Json;
 import org.sandford.core.Loop;
@@ -28,6 +30,9 @@
 final class Submissions {
   private static final Logger log = LoggerFactory.getLogger(Submissions.class);
 
+  private static final Answer NOT_STORED =
+      Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
+
   /** Told of what became of the jobs of this controller's teams. */
   interface Changes {
     /** Jobs wait that did not wait before. */
@@ -45,6 +50,7 @@
   private final JobStore store;
   private final Finals finals;
   private final Lookup lookup;
+  private final JobAnswers answers;
   private final Changes changes;
 
   Submissions(
@@ -56,6 +62,7 @@
       JobStore store,
       Finals finals,
       Lookup lookup,
+      JobAnswers answers,
       Changes changes) {
     this.loop = loop;
     this.settings = settings;
@@ -65,13 +72,14 @@
     this.store = store;
     this.finals = finals;
     this.lookup = lookup;
+    this.answers = answers;
     this.changes = changes;
   }
 
   void submit(JobSpec spec, Consumer<Answer> answer) {
-    String ended = finals.get(spec.id());
-    if (ended != null) {
-      answer.accept(Answer.of(200, JobStatus.finalStatus(spec.id(), ended)));
+    Optional<Answer> known = answers.known(spec.id());
+    if (known.isPresent()) {
+      answer.accept(known.get());
       return;
     }
     Answer refusal = owned.cannotSpeakFor(spec.team());
@@ -79,12 +87,12 @@
       answer.accept(refusal);
       return;
     }
-    Job known = owned.job(spec.id());
-    if (known != null) {
-      if (known.phase() == Job.Phase.STORING) {
-        known.submitters.add(answer);
+    Job former = owned.job(spec.id());
+    if (former != null) {
+      if (former.phase() == Job.Phase.STORING) {
+        former.submitters.add(answer);
       } else {
-        answer.accept(Answer.of(200, known.status()));
+        answerRepeat(spec.id(), answer);
       }
       return;
     }
@@ -99,6 +107,11 @@
     storeNew(job);
   }
 
+  /** A job that was accepted before, and of which only the store can tell how far it is. */
+  private void answerRepeat(String id, Consumer<Answer> answer) {
+    answers.fromStore(id, found -> answer.accept(found.status() == 200 ? found : NOT_STORED));
+  }
+
   /** Whether a record would wait too long for the store. */
   private boolean overloaded() {
     double perSecond = settings.facts().stateWriteRps() * Constants.STATE_RATE_SHARE;
@@ -164,12 +177,17 @@
     job.revision = revision;
     job.becomes(Job.Phase.OPEN);
     log.debug("{} is accepted", job.spec.id());
-    answerSubmitters(
-        job,
-        Answer.of(status, Json.object().put("name_id", job.spec.id()).put("status", "queued")));
+    answerSubmitters(job, acceptedAnswer(job.spec.id(), status, revision));
     changes.jobsChanged();
   }
 
+  private static Answer acceptedAnswer(String id, int status, long revision) {
+    return Answer.of(
+        status,
+        Json.object().put("name_id", id).put("status", "queued"),
+        new Basis.StoreWrite(revision));
+  }
+
   private static void answerSubmitters(Job job, Answer answer) {
     List<Consumer<Answer>> waiting = new ArrayList<>(job.submitters);
     job.submitters.clear();
@@ -197,21 +215,16 @@
                 accepted(job, found.revision(), 200);
               } else {
                 // The id was used before, perhaps with another body: that first one is the job.
+                // Some of its submitters came after this read had begun.
                 List<Consumer<Answer>> asking = new ArrayList<>(job.submitters);
                 owned.discard(job);
-                Job first = owned.job(job.spec.id());
-                ObjectNode status =
-                    first != null
-                        ? first.status()
-                        : JobStatus.storedStatus(job.spec.id(), found.record());
-                asking.forEach(a -> a.accept(Answer.of(200, status)));
                 reloadStray(stored, found);
+                asking.forEach(asker -> answerRepeat(stored.id(), asker));
               }
             }
             case FINAL -> {
               owned.discard(job);
-              answerSubmitters(
-                  job, Answer.of(200, JobStatus.finalStatus(job.spec.id(), found.state())));
+              answers.ended(job.spec.id()).ifPresent(ended -> answerSubmitters(job, ended));
             }
             case NONE -> storeNew(job);
             case UNKNOWN -> {
@@ -226,7 +239,9 @@
   /** A job stands in the store that should be known here, when its team is ours. */
   private void reloadStray(JobSpec stored, Lookup.Found found) {
     Team team = owned.team(stored.team());
-    if (team != null && team.speaks() && !owned.knows(stored.id())) {
+    // The read may be older than an end that became known meanwhile.
+    boolean ended = finals.contains(stored.id());
+    if (team != null && team.speaks() && !owned.knows(stored.id()) && !ended) {
       Job job =
           new Job(stored, found.record().path("a").asLong(), true, Job.Phase.OPEN, loop.nanos());
       job.revision = found.revision();
@@ -241,8 +256,6 @@
    * Only the owner ever starts its tasks; a key that all controllers watch tells it of the job.
    */
   void storeForOwner(JobSpec spec, Consumer<Answer> answer) {
-    Answer later =
-        Answer.later(503, "the job cannot be stored just now", Constants.RETRY_AUTHORITY_S);
     if (overloaded()) {
       answer.accept(Answer.later(429, "too many submissions at once", Constants.RETRY_OVERLOAD_S));
       return;
@@ -261,23 +274,11 @@
             result -> {
               if (result.outcome() == Outcome.DONE) {
                 log.info("{} is stored for the owner of team {}", spec.id(), spec.team());
-                answer.accept(
-                    Answer.of(
-                        201, Json.object().put("name_id", spec.id()).put("status", "queued")));
+                answer.accept(acceptedAnswer(spec.id(), 201, result.revision()));
               } else if (result.outcome() == Outcome.CONFLICT) {
-                lookup.find(
-                    spec.id(),
-                    found ->
-                        answer.accept(
-                            switch (found.kind()) {
-                              case OPEN ->
-                                  Answer.of(200, JobStatus.storedStatus(spec.id(), found.record()));
-                              case FINAL ->
-                                  Answer.of(200, JobStatus.finalStatus(spec.id(), found.state()));
-                              default -> later;
-                            }));
+                answerRepeat(spec.id(), answer);
               } else {
-                answer.accept(later);
+                answer.accept(NOT_STORED);
               }
             }));
   }
--- a/src/main/java/org/sandford/machine/Fleet.java
+++ b/src/main/java/org/sandford/machine/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
 import org.sandford.cancel.Cancellations;
 import org.sandford.cloud.Flavor;
 import org.sandford.core.Answer;
@@ -63,6 +64,7 @@
   private final Function<String, Flavor> flavors;
   private final Predicate<String> isFinal;
   private final Roster roster;
+  private final AuditLog audit;
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Map<String, Long> claims = new HashMap<>();
   private final Map<String, JobSpec> specs = new HashMap<>();
@@ -91,7 +93,8 @@
       JobStore jobs,
       Function<String, Flavor> flavors,
       Predicate<String> isFinal,
-      Roster roster) {
+      Roster roster,
+      AuditLog audit) {
     this.loop = loop;
     this.settings = settings;
     this.share = share;
@@ -102,6 +105,7 @@
     this.flavors = flavors;
     this.isFinal = isFinal;
     this.roster = roster;
+    this.audit = audit;
   }
 
   public void start() {
@@ -245,6 +249,7 @@
     if (refusal == null) {
       Machine machine = machines.get(ask.machine);
       machine.accept(ask, loop.nanos());
+      audit.startTaken(ask.job, ask.task, ask.attempt, ask.machine, right(machine));
       mark(machine);
       loop.execute(() -> command(machine));
     } else {
@@ -299,6 +304,11 @@
     return ask.cpus <= cpus + e && ask.gpus <= gpus + e && ask.ram <= ram + e ? null : "no room";
   }
 
+  /** By what this controller commands the machine now. */
+  private AuditLog.Right right(Machine machine) {
+    return new AuditLog.Right(share.id(), machine.token(), machine.place.generation());
+  }
+
   public void stopTask(StopTask ask) {
     if (current(ask.team, ask.generation)) {
       stop(ask.machine, new TaskKey(ask.job, ask.task), ask.attempt, ask.graceS);
@@ -338,6 +348,7 @@
       return;
     }
     if (entry.stopGrace < 0 || graceS < entry.stopGrace) {
+      audit.stopped(task.job(), task.task(), attempt, name, right(machine));
       entry.stopGrace = graceS;
       entry.stopSentAt = 0;
       loop.execute(() -> command(machine));
--- a/src/main/java/org/sandford/share/Share.java
+++ b/src/main/java/org/sandford/share/Share.java
@@ -13,6 +13,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import org.sandford.Constants;
+import org.sandford.audit.AuditLog;
 import org.sandford.cancel.Cancellations;
 import org.sandford.core.Json;
 import org.sandford.core.Loop;
@@ -87,6 +88,7 @@
   private final Loop loop;
   private final Settings settings;
   private final StateClient state;
+  private final AuditLog audit;
   private Listener listener;
 
   private Membership membership = Membership.NAMELESS;
@@ -139,10 +141,11 @@
   private final Map<String, Long> yielded = new TreeMap<>();
   private long hires;
 
-  public Share(Loop loop, Settings settings, StateClient state) {
+  public Share(Loop loop, Settings settings, StateClient state, AuditLog audit) {
     this.loop = loop;
     this.settings = settings;
     this.state = state;
+    this.audit = audit;
   }
 
   public void start(Listener to) {
@@ -465,6 +468,11 @@
           finalsSince = Math.max(finalsSince, changes.epoch());
           for (Entry entry : changes.entries()) {
             if (entry.value() != null) {
+              audit.endKnown(
+                  entry.key().substring(FINALS.length()),
+                  entry.value().path("s").asText(),
+                  AuditLog.Via.WATCH,
+                  entry.revision());
               listener.finalSeen(entry.key().substring(FINALS.length()), entry.value());
             }
           }
@@ -524,6 +532,7 @@
         leaderRevision = entry.value() == null ? 0 : entry.revision();
         leaderSince = loop.nanos();
         log.info("the leader is {}", leader.isEmpty() ? "nobody" : leader);
+        audit.leader(leader, leaderRevision);
       }
     } else if (key.startsWith(ADDED)) {
       String job = key.substring(ADDED.length());
--- a/src/main/java/org/sandford/state/RecordWriter.java
+++ b/src/main/java/org/sandford/state/RecordWriter.java
@@ -32,9 +32,25 @@
     PROGRESS
   }
 
-  /** One independent write. */
+  /**
+   * One independent write.
+   *
+   * @param conditions the revisions that its keys must have
+   * @param ops what it changes
+   * @param kind what it is for
+   * @param leaves runs when it is put into a transaction: from then on it may be applied
+   * @param done gets the result
+   */
   public record Write(
-      Map<String, Long> conditions, List<Op> ops, Kind kind, Consumer<Result> done) {}
+      Map<String, Long> conditions,
+      List<Op> ops,
+      Kind kind,
+      Runnable leaves,
+      Consumer<Result> done) {
+    public Write(Map<String, Long> conditions, List<Op> ops, Kind kind, Consumer<Result> done) {
+      this(conditions, ops, kind, () -> {}, done);
+    }
+  }
 
   private final StateClient state;
   private final int maxOps;
@@ -162,6 +178,7 @@
       sent.add(write);
     }
     later.forEach(write -> waiting.get(write.kind).addFirst(write));
+    sent.forEach(write -> write.leaves.run());
     state.txn(
         conditions,
         ops,
