A limit of 0 in the facts is no limit: teams without one are served

Cause: cpus_max and gpus_max of 0 were read as a limit of nothing, so every job of a guest team was answered 422.

Change: Settings.Team.ofFacts turns a limit of 0 into none, for the settings' loader and the scenarios alike.

--- a/src/main/java/org/sandford/settings/Settings.java
+++ b/src/main/java/org/sandford/settings/Settings.java
@@ -24,8 +24,27 @@
 
   public record Other(String label, String zone, Endpoint address) {}
 
-  /** A team's guarantee and limit; 0 means none. */
-  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
+  /**
+   * A team's guarantee and limit, in CPUs and accelerators. A guarantee of 0 is none; a limit may
+   * be {@link #NO_LIMIT}.
+   */
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    /** The limit of a team that may use all that others leave. */
+    public static final double NO_LIMIT = Double.POSITIVE_INFINITY;
+
+    /**
+     * A team as the platform's facts give it, where a value of 0 means none. Read as a limit of
+     * nothing, it had every job of a team without guarantee and limit refused with 422.
+     */
+    public static Team ofFacts(
+        String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+      return new Team(name, cpus, limit(cpusMax), gpus, limit(gpusMax));
+    }
+
+    private static double limit(double given) {
+      return given == 0 ? NO_LIMIT : given;
+    }
+  }
 
   /**
    * What the platform tells of the deployment. The store's limits are the smaller of those in force
--- a/src/main/java/org/sandford/settings/SettingsLoader.java
+++ b/src/main/java/org/sandford/settings/SettingsLoader.java
@@ -53,7 +53,7 @@
       String name = team.text("name");
       teams.put(
           name,
-          new Settings.Team(
+          Settings.Team.ofFacts(
               name,
               team.amount("cpus", 0, 0),
               team.amount("cpus_max", 0, 0),
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -202,8 +202,9 @@
         case "team" -> {
           double guaranteed = Double.parseDouble(words.get(2));
           double most = Double.parseDouble(words.get(3));
-          teamMax.put(words.get(1), most);
-          teams.put(words.get(1), new Settings.Team(words.get(1), guaranteed, most, 0, 0));
+          Settings.Team team = Settings.Team.ofFacts(words.get(1), guaranteed, most, 0, 0);
+          teamMax.put(team.name(), team.cpusMax());
+          teams.put(team.name(), team);
         }
         case "at" ->
             steps.add(
--- a/src/test/java/org/sandford/settings/SettingsLoaderTest.java
+++ b/src/test/java/org/sandford/settings/SettingsLoaderTest.java
@@ -96,6 +96,21 @@
     assertTrue(settings.operators().useSpot());
   }
 
+  /** Read as a limit of nothing, it had each job of a team without limit refused with 422. */
+  @Test
+  void aLimitOfZeroIsNone() throws Exception {
+    String guests =
+        "[[facts.teams]]\nname = \"guests\"\ncpus = 0.0\ncpus_max = 0.0\n[facts.workers]";
+    Settings.Team team =
+        SettingsLoader.load(file("s.toml", GOOD.replace("[facts.workers]", guests)), null)
+            .facts()
+            .teams()
+            .get("guests");
+    assertEquals(0.0, team.cpus(), "no guarantee");
+    assertEquals(Settings.Team.NO_LIMIT, team.cpusMax());
+    assertEquals(Settings.Team.NO_LIMIT, team.gpusMax());
+  }
+
   @Test
   void complaintsNameFileKeyAndWhatIsExpected() throws IOException {
     String missing = complaint(GOOD.replace("label = \"c0\"\n", ""));
