Renting is planned in a class of its own

Change: RentalPlanner fills the rooms there are and chooses pools for the rest, for one moment and without side effects; Pool is a file of its own, and a flavor tells its price. No behaviour changes.

--- a/src/main/java/org/sandford/capacity/Capacity.java
+++ b/src/main/java/org/sandford/capacity/Capacity.java
@@ -25,7 +25,6 @@
 import org.sandford.peer.wire.TaskState;
 import org.sandford.peer.wire.TaskView;
 import org.sandford.peer.wire.Vacate;
-import org.sandford.placement.Need;
 import org.sandford.placement.Room;
 import org.sandford.settings.Settings;
 import org.sandford.share.AssignmentMap.MachineOwner;
@@ -37,11 +36,6 @@
 public final class Capacity {
   private static final Logger log = LoggerFactory.getLogger(Capacity.class);
 
-  /**
-   * Machines of one kind in one zone, spot or ordinary: the cloud grants or refuses them together.
-   */
-  private record Pool(String kind, String zone, boolean spot) {}
-
   /** A rental request that was not answered yet. */
   private static final class Hire {
     final String name;
@@ -402,7 +396,7 @@
     idle.sort(
         Comparator.comparingDouble(
             (Roster.Seen s) ->
-                -price(flavors.get(s.view().kind), s.view().spot)
+                -flavors.get(s.view().kind).price(s.view().spot)
                     / flavors.get(s.view().kind).cpus()));
     for (Roster.Seen seen : idle) {
       MachineView view = seen.view();
@@ -422,7 +416,7 @@
   private final Map<String, Long> idleSince = new HashMap<>();
 
   /** Machines on which what waits now could be placed; they are not returned. */
-  private final Set<String> wantedRooms = new HashSet<>();
+  private Set<String> wantedRooms = Set.of();
 
   /** Views are only told when they change, so the time since is counted here. */
   private double idleFor(MachineView view, long now) {
@@ -490,7 +484,7 @@
         Comparator.comparingDouble(
             (Roster.Seen s) -> {
               Room room = rooms.get(s.view().machine);
-              return -price(flavors.get(room.kind), room.spot) / (room.cpus - room.freeCpus);
+              return -flavors.get(room.kind).price(room.spot) / (room.cpus - room.freeCpus);
             }));
     for (Roster.Seen seen : candidates) {
       MachineView view = seen.view();
@@ -553,10 +547,6 @@
   // --- renting
   // -----------------------------------------------------------------------------------------------
 
-  private static double price(Flavor flavor, boolean spot) {
-    return spot ? flavor.spotPrice() : flavor.price();
-  }
-
   private List<DemandClass> demandNow(long now) {
     List<DemandClass> all = new ArrayList<>(ownDemand.get());
     demands.forEach(
@@ -602,220 +592,54 @@
     }
     for (Hire hire : hires.values()) {
       for (int i = 0; i < hire.number; i++) {
-        rooms.add(room(hire.name + "/" + i, hire.pool.kind, hire.pool.zone, hire.pool.spot));
+        rooms.add(room(hire.name + "/" + i, hire.pool.kind(), hire.pool.zone(), hire.pool.spot()));
       }
     }
     return rooms;
   }
 
   private Room room(String name, String kind, String zone, boolean spot) {
-    Flavor f = flavors.get(kind);
-    return new Room(name, "", kind, zone, spot, true, f.cpus(), f.gpus(), f.ram());
-  }
-
-  private static Need need(DemandClass d) {
-    return new Need(
-        "",
-        d.rank,
-        0,
-        d.cpus,
-        d.gpus,
-        d.ram,
-        Set.copyOf(d.kinds),
-        d.zone,
-        d.reclaimable,
-        d.together,
-        d.scatter,
-        d.standing,
-        false,
-        d.total,
-        d.held,
-        Set.of(),
-        Set.of(),
-        "");
+    return new Pool(kind, zone, spot).room(name, flavors.get(kind));
   }
 
   private void rent(long now) {
-    List<Room> rooms = supply();
-    // Rooms that are in use already are filled first, so that empty machines stay free to go back.
-    rooms.sort(Comparator.comparingDouble((Room room) -> room.freeCpus / room.cpus));
-    Map<String, Double> crowd = new HashMap<>();
-    rooms.forEach(room -> crowd.merge(room.zone, room.cpus, Double::sum));
-    Map<Pool, Integer> wanted = new LinkedHashMap<>();
-    wantedRooms.clear();
     int machines =
         share.machines().of().size()
             + share.adding().size()
             + hires.values().stream().mapToInt(h -> h.number).sum();
-    int most = settings.operators().maxMachines() - machines;
-    for (DemandClass d : demandNow(now)) {
-      Need need = inItsZone(need(d), d.tasks, rooms, crowd, now);
-      int left = d.tasks - fill(need, d.tasks, rooms);
-      while (left > 0 && most > 0) {
-        Pool pool = cheapest(need, left, crowd, now);
-        if (pool == null) {
-          break;
-        }
-        Room fresh = want(pool, most--, wanted, crowd, rooms);
-        int more = fill(need, left, List.of(fresh));
-        if (more == 0) {
-          break;
-        }
-        left -= more;
-      }
-    }
-    double total = 0;
-    double free = 0;
-    for (Room room : rooms) {
-      total += room.cpus;
-      free += room.spot ? 0 : Math.max(0, room.freeCpus);
-    }
-    if (wanted.isEmpty()) {
-      // Ordinary machines, since the work that may wait least runs on no others.
-      Need any =
-          new Need(
-              "", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, false, 1, Map.of(),
-              Set.of(), Set.of(), "");
-      while (free < Constants.HEADROOM_SHARE * total && most > 0) {
-        Pool pool = cheapest(any, 4, crowd, now);
-        if (pool == null) {
-          break;
-        }
-        free += want(pool, most--, wanted, crowd, rooms).cpus;
-      }
-    }
+    RentalPlanner.Market market =
+        new RentalPlanner.Market(
+            flavors,
+            settings.operators().useSpot(),
+            pool -> !isCut(pool.zone(), now) && pausedUntil.getOrDefault(pool, 0L) <= now);
+    RentalPlanner planner =
+        new RentalPlanner(market, supply(), settings.operators().maxMachines() - machines);
+    Map<Pool, Integer> wanted = planner.rentFor(demandNow(now));
+    wantedRooms = planner.wantedRooms();
     if (!wanted.isEmpty() && keepVacating()) {
       return;
     }
     wanted.forEach((pool, number) -> hire(pool, Math.min(number, Constants.HIRE_MOST), now));
   }
 
-  /** Counts one more machine of the pool among those to be rented, and among the rooms. */
-  private Room want(
-      Pool pool,
-      int number,
-      Map<Pool, Integer> wanted,
-      Map<String, Double> crowd,
-      List<Room> rooms) {
-    Room fresh = room("new/" + number, pool.kind, pool.zone, pool.spot);
-    wanted.merge(pool, 1, Integer::sum);
-    crowd.merge(pool.zone, fresh.cpus, Double::sum);
-    rooms.add(fresh);
-    return fresh;
-  }
-
-  /**
-   * The need of a job whose tasks must be together, with the one zone in which it is supplied: the
-   * one that it has, or the one with the most room in which the rest can be rented. What is rented
-   * in several zones would stand idle.
-   */
-  private Need inItsZone(
-      Need need, int count, List<Room> rooms, Map<String, Double> crowd, long now) {
-    if (!need.together() || !need.zone().isEmpty()) {
-      return need;
-    }
-    if (!need.zonesHeld().isEmpty()) {
-      return need.in(need.zonesHeld().keySet().iterator().next());
-    }
-    Map<String, Integer> fits = new TreeMap<>();
-    flavors.values().forEach(flavor -> flavor.zones().forEach(zone -> fits.put(zone, 0)));
-    for (Room room : rooms) {
-      if (need.allows(room)) {
-        fits.merge(room.zone, Math.min(count, need.fitting(room)), Integer::sum);
-      }
-    }
-    List<String> zones = new ArrayList<>(fits.keySet());
-    zones.sort(Comparator.comparingInt((String zone) -> -fits.get(zone)));
-    for (String zone : zones) {
-      int left = count - fits.get(zone);
-      if (left <= 0 || cheapest(need.in(zone), left, crowd, now) != null) {
-        return need.in(zone);
-      }
-    }
-    return zones.isEmpty() ? need : need.in(zones.get(0));
-  }
-
-  /**
-   * Fills the rooms with up to {@code count} tasks and returns how many found one. It only tells
-   * what has to be rented, so it does without the score: a look at each room for a whole class.
-   */
-  private int fill(Need need, int count, List<Room> rooms) {
-    Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
-    int left = count;
-    for (Room room : rooms) {
-      if (left == 0) {
-        break;
-      }
-      if (!need.allows(room)) {
-        continue;
-      }
-      int most = Math.min(left, need.scatterLimit() - zones.getOrDefault(room.zone, 0));
-      int tasks = Math.min(most, need.fitting(room));
-      if (tasks > 0) {
-        room.take(tasks * need.cpus(), tasks * need.gpus(), tasks * need.ram());
-        zones.merge(room.zone, tasks, Integer::sum);
-        wantedRooms.add(room.machine);
-        left -= tasks;
-      }
-    }
-    return count - left;
-  }
-
-  private Pool cheapest(Need need, int left, Map<String, Double> crowd, long now) {
-    Pool best = null;
-    double bestPrice = 0;
-    double bestCrowd = 0;
-    for (Flavor flavor : flavors.values()) {
-      for (String zone : flavor.zones()) {
-        for (boolean spot : new boolean[] {true, false}) {
-          Pool pool = new Pool(flavor.kind(), zone, spot);
-          Room room = room("", flavor.kind(), zone, spot);
-          int fits = Math.min(left, need.fitting(room));
-          boolean zoneFull = need.zonesHeld().getOrDefault(zone, 0) >= need.scatterLimit();
-          boolean wants =
-              need.allows(room)
-                  && fits > 0
-                  && !zoneFull
-                  && !isCut(zone, now)
-                  && (!spot || settings.operators().useSpot());
-          if (!wants || pausedUntil.getOrDefault(pool, 0L) > now) {
-            continue;
-          }
-          double price = price(flavor, spot) / fits;
-          double crowded = crowd.getOrDefault(zone, 0.0);
-          boolean better =
-              best == null
-                  || price < bestPrice - Constants.EPSILON
-                  || (price < bestPrice + Constants.EPSILON && crowded < bestCrowd);
-          if (better) {
-            best = pool;
-            bestPrice = price;
-            bestCrowd = crowded;
-          }
-        }
-      }
-    }
-    return best;
-  }
-
   private void hire(Pool pool, int number, long now) {
     Hire hire = new Hire(share.newHireName(), pool, number, now);
     hires.put(hire.name, hire);
     log.info(
         "renting {} {} {} in zone {}",
         number,
-        pool.spot ? "spot" : "ordinary",
-        pool.kind,
-        pool.zone);
+        pool.spot() ? "spot" : "ordinary",
+        pool.kind(),
+        pool.zone());
     send(hire);
   }
 
   private void send(Hire hire) {
     cloud.hire(
         hire.name,
-        hire.pool.kind,
-        hire.pool.zone,
-        hire.pool.spot,
+        hire.pool.kind(),
+        hire.pool.zone(),
+        hire.pool.spot(),
         hire.number,
         (how, hosts) -> {
           long now = loop.millis();
@@ -830,7 +654,7 @@
                 host ->
                     share.addMachine(
                         new Share.NewMachine(
-                            host, "", hire.pool.kind, hire.pool.zone, hire.pool.spot)));
+                            host, "", hire.pool.kind(), hire.pool.zone(), hire.pool.spot())));
           }
           if (how == Hired.NO_CAPACITY || (how == Hired.RENTED && hosts.size() < hire.number)) {
             pausedUntil.put(hire.pool, now + Constants.POOL_PAUSE_MS);
--- /dev/null
+++ b/src/main/java/org/sandford/capacity/RentalPlanner.java
@@ -0,0 +1,233 @@
+package org.sandford.capacity;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.sandford.Constants;
+import org.sandford.cloud.Flavor;
+import org.sandford.peer.wire.DemandClass;
+import org.sandford.placement.Need;
+import org.sandford.placement.Room;
+
+/**
+ * Decides which machines to rent for what waits: the rooms that there are, or will be, are filled
+ * first, and what finds no place is rented the cheapest machines that hold it. Pure: it sees one
+ * moment, and asks nobody.
+ */
+final class RentalPlanner {
+  /**
+   * What the planner has to know of the cloud.
+   *
+   * @param flavors the kinds of machine, by name
+   * @param useSpot whether the operators allow spot machines
+   * @param mayRent whether the pool can be rented from at this moment
+   */
+  record Market(Map<String, Flavor> flavors, boolean useSpot, Predicate<Pool> mayRent) {}
+
+  /** Tasks for which headroom's machine is chosen: the price of a few CPUs decides. */
+  private static final int HEADROOM_TASKS = 4;
+
+  private final Market market;
+  private final List<Room> rooms;
+
+  /** CPUs by zone, of what is there and what is to be rented: of equal prices, the emptier zone. */
+  private final Map<String, Double> crowd = new HashMap<>();
+
+  private final Map<Pool, Integer> wanted = new LinkedHashMap<>();
+  private final Set<String> wantedRooms = new HashSet<>();
+
+  /** How many more machines the operators allow. */
+  private int most;
+
+  /** A plan for one moment; it takes from the rooms. */
+  RentalPlanner(Market market, List<Room> rooms, int most) {
+    this.market = market;
+    this.rooms = new ArrayList<>(rooms);
+    this.most = most;
+    // Rooms that are in use already are filled first, so that empty machines stay free to go back.
+    this.rooms.sort(Comparator.comparingDouble((Room room) -> room.freeCpus / room.cpus));
+    rooms.forEach(room -> crowd.merge(room.zone, room.cpus, Double::sum));
+  }
+
+  /**
+   * How many machines of each pool to rent for the demand, which comes in the order of its ranks.
+   */
+  Map<Pool, Integer> rentFor(List<DemandClass> demand) {
+    demand.forEach(this::supply);
+    if (wanted.isEmpty()) {
+      addHeadroom();
+    }
+    return wanted;
+  }
+
+  /** Machines, there or rented, that take what waits. */
+  Set<String> wantedRooms() {
+    return wantedRooms;
+  }
+
+  private void supply(DemandClass waiting) {
+    Need need = inItsZone(need(waiting), waiting.tasks);
+    int left = waiting.tasks - fill(need, waiting.tasks, rooms);
+    while (left > 0 && most > 0) {
+      Pool pool = cheapest(need, left);
+      if (pool == null) {
+        return;
+      }
+      int more = fill(need, left, List.of(want(pool)));
+      if (more == 0) {
+        return;
+      }
+      left -= more;
+    }
+  }
+
+  /**
+   * Ordinary machines for a share of the fleet, since the work that may wait least runs on no
+   * others.
+   */
+  private void addHeadroom() {
+    double total = 0;
+    double free = 0;
+    for (Room room : rooms) {
+      total += room.cpus;
+      free += room.spot ? 0 : Math.max(0, room.freeCpus);
+    }
+    Need any =
+        new Need(
+            "", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, false, 1, Map.of(),
+            Set.of(), Set.of(), "");
+    while (free < Constants.HEADROOM_SHARE * total && most > 0) {
+      Pool pool = cheapest(any, HEADROOM_TASKS);
+      if (pool == null) {
+        return;
+      }
+      free += want(pool).cpus;
+    }
+  }
+
+  private static Need need(DemandClass d) {
+    return new Need(
+        "",
+        d.rank,
+        0,
+        d.cpus,
+        d.gpus,
+        d.ram,
+        Set.copyOf(d.kinds),
+        d.zone,
+        d.reclaimable,
+        d.together,
+        d.scatter,
+        d.standing,
+        false,
+        d.total,
+        d.held,
+        Set.of(),
+        Set.of(),
+        "");
+  }
+
+  /** Counts one more machine of the pool among those to be rented, and among the rooms. */
+  private Room want(Pool pool) {
+    Room fresh = pool.room("new/" + most--, market.flavors().get(pool.kind()));
+    wanted.merge(pool, 1, Integer::sum);
+    crowd.merge(pool.zone(), fresh.cpus, Double::sum);
+    rooms.add(fresh);
+    return fresh;
+  }
+
+  /**
+   * The need of a job whose tasks must be together, with the one zone in which it is supplied: the
+   * one that it has, or the one with the most room in which the rest can be rented. What is rented
+   * in several zones would stand idle.
+   */
+  private Need inItsZone(Need need, int count) {
+    if (!need.together() || !need.zone().isEmpty()) {
+      return need;
+    }
+    if (!need.zonesHeld().isEmpty()) {
+      return need.in(need.zonesHeld().keySet().iterator().next());
+    }
+    Map<String, Integer> fits = new TreeMap<>();
+    market.flavors().values().forEach(flavor -> flavor.zones().forEach(zone -> fits.put(zone, 0)));
+    for (Room room : rooms) {
+      if (need.allows(room)) {
+        fits.merge(room.zone, Math.min(count, need.fitting(room)), Integer::sum);
+      }
+    }
+    List<String> zones = new ArrayList<>(fits.keySet());
+    zones.sort(Comparator.comparingInt((String zone) -> -fits.get(zone)));
+    for (String zone : zones) {
+      int left = count - fits.get(zone);
+      if (left <= 0 || cheapest(need.in(zone), left) != null) {
+        return need.in(zone);
+      }
+    }
+    return zones.isEmpty() ? need : need.in(zones.get(0));
+  }
+
+  /**
+   * Fills the rooms with up to {@code count} tasks and returns how many found one. It only tells
+   * what has to be rented, so it does without the score: a look at each room for a whole class.
+   */
+  private int fill(Need need, int count, List<Room> rooms) {
+    Map<String, Integer> zones = new HashMap<>(need.zonesHeld());
+    int left = count;
+    for (Room room : rooms) {
+      if (left == 0) {
+        break;
+      }
+      if (!need.allows(room)) {
+        continue;
+      }
+      int most = Math.min(left, need.scatterLimit() - zones.getOrDefault(room.zone, 0));
+      int tasks = Math.min(most, need.fitting(room));
+      if (tasks > 0) {
+        room.take(tasks * need.cpus(), tasks * need.gpus(), tasks * need.ram());
+        zones.merge(room.zone, tasks, Integer::sum);
+        wantedRooms.add(room.machine);
+        left -= tasks;
+      }
+    }
+    return count - left;
+  }
+
+  private Pool cheapest(Need need, int left) {
+    Pool best = null;
+    double bestPrice = 0;
+    double bestCrowd = 0;
+    for (Flavor flavor : market.flavors().values()) {
+      for (String zone : flavor.zones()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Pool pool = new Pool(flavor.kind(), zone, spot);
+          Room room = pool.room("", flavor);
+          int fits = Math.min(left, need.fitting(room));
+          boolean zoneFull = need.zonesHeld().getOrDefault(zone, 0) >= need.scatterLimit();
+          boolean wants = need.allows(room) && fits > 0 && !zoneFull && (!spot || market.useSpot());
+          if (!wants || !market.mayRent().test(pool)) {
+            continue;
+          }
+          double price = flavor.price(spot) / fits;
+          double crowded = crowd.getOrDefault(zone, 0.0);
+          boolean better =
+              best == null
+                  || price < bestPrice - Constants.EPSILON
+                  || (price < bestPrice + Constants.EPSILON && crowded < bestCrowd);
+          if (better) {
+            best = pool;
+            bestPrice = price;
+            bestCrowd = crowded;
+          }
+        }
+      }
+    }
+    return best;
+  }
+}
--- a/src/main/java/org/sandford/cloud/Flavor.java
+++ b/src/main/java/org/sandford/cloud/Flavor.java
@@ -30,6 +30,11 @@
         List.copyOf(zones));
   }
 
+  /** Its price per hour, as a spot machine or an ordinary one. */
+  public double price(boolean spot) {
+    return spot ? spotPrice : price;
+  }
+
   public boolean fits(double needCpus, double needGpus, double needRam) {
     double e = org.sandford.Constants.EPSILON;
     return needCpus <= cpus + e && needGpus <= gpus + e && needRam <= ram + e;
