Large arrays: an attempt to be cleared is looked up without going through all of them

Cause: of a 25,000-task array thousands of finished attempts wait for their clear at a time, every view names them again, and each was looked up in a list.

Change: a set for the clears; zones and machines that a job holds are counted as tasks come and go.

Measured: JobTest compares the counts with a recount through 500 random changes. No test counts the cost itself.

--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -1,10 +1,13 @@
 package org.sandford.job;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import com.google.common.collect.RangeSet;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -158,8 +161,19 @@
   /** Attempts that hold, or may hold, room on a machine. */
   private final Map<Integer, Placed> placed = new TreeMap<>();
 
+  /** How many of them each zone and each machine has. */
+  private final Multiset<String> zonesHeld = HashMultiset.create();
+
+  private final Multiset<String> machinesHeld = HashMultiset.create();
+
   private int running;
-  final List<Clear> clears = new ArrayList<>();
+
+  /**
+   * What may be cleared once the record says so; of a large array thousands wait at a time, and
+   * every view names them again, so looking one up must not go through all of them.
+   */
+  final Set<Clear> clears = new LinkedHashSet<>();
+
   final List<Consumer<Answer>> submitters = new ArrayList<>();
   final List<Consumer<Answer>> aborters = new ArrayList<>();
   final Set<String> avoid = new HashSet<>();
@@ -267,7 +281,13 @@
   }
 
   void place(Placed at) {
-    placed.put(at.task, at);
+    Placed former = placed.put(at.task, at);
+    if (former != null) {
+      zonesHeld.remove(former.zone);
+      machinesHeld.remove(former.machine);
+    }
+    zonesHeld.add(at.zone);
+    machinesHeld.add(at.machine);
     running += at.runs();
     if (waiting.contains(at.task)) {
       waiting.remove(TaskRanges.one(at.task));
@@ -278,6 +298,8 @@
   /** The attempt holds no room any more; unless the task is done, it waits again. */
   void unplace(Placed at, long now) {
     if (placed.remove(at.task, at)) {
+      zonesHeld.remove(at.zone);
+      machinesHeld.remove(at.machine);
       running -= at.runs();
       if (!isDone(at.task)) {
         waiting.add(TaskRanges.one(at.task));
@@ -322,11 +344,12 @@
   /** What its tasks need if one of them were not where it is. */
   Need needWithout(Placed left) {
     Map<String, Integer> zones = new HashMap<>();
-    Set<String> machines = new HashSet<>();
-    for (Placed p : placed.values()) {
-      if (p != left) {
-        zones.merge(p.zone, 1, Integer::sum);
-        machines.add(p.machine);
+    zonesHeld.entrySet().forEach(e -> zones.put(e.getElement(), e.getCount()));
+    Set<String> machines = new HashSet<>(machinesHeld.elementSet());
+    if (left != null && placed.get(left.task) == left) {
+      zones.computeIfPresent(left.zone, (zone, held) -> held == 1 ? null : held - 1);
+      if (machinesHeld.count(left.machine) == 1) {
+        machines.remove(left.machine);
       }
     }
     return new Need(
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -653,8 +653,7 @@
         unplace(job, p);
       }
       Job.Clear clear = new Job.Clear(task.task, task.attempt, view.machine);
-      if (!job.clears.contains(clear)) {
-        job.clears.add(clear);
+      if (job.clears.add(clear)) {
         job.dirty = true;
       }
       records.tend(job);
--- /dev/null
+++ b/src/test/java/org/sandford/job/JobTest.java
@@ -0,0 +1,93 @@
+package org.sandford.job;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.sandford.job.Job.Placed;
+import org.sandford.placement.Need;
+
+class JobTest {
+  private static final int TASKS = 12;
+
+  private static Job array() {
+    JobSpec spec =
+        new JobSpec(
+            "wk-1",
+            "any",
+            "red",
+            JobSpec.Shape.ARRAY,
+            JobSpec.Rank.NORMAL,
+            TASKS,
+            1,
+            0,
+            1,
+            Set.of(),
+            "",
+            false,
+            false,
+            true,
+            "i",
+            1,
+            5,
+            0,
+            0,
+            0);
+    return new Job(spec, 0, false, Job.Phase.OPEN, 0);
+  }
+
+  private static Placed place(Job job, int task, int machine) {
+    return new Placed(
+        job, task, task, "n" + machine, 1, "c0", 0, "z" + machine % 2, Job.TaskPhase.PLACED, 0);
+  }
+
+  private static void assertHolds(Job job, Placed left) {
+    Map<String, Integer> zones = new HashMap<>();
+    Set<String> machines = new HashSet<>();
+    for (Placed p : job.placed()) {
+      if (p != left) {
+        zones.merge(p.zone, 1, Integer::sum);
+        machines.add(p.machine);
+      }
+    }
+    Need need = job.needWithout(left);
+    assertEquals(zones, need.zonesHeld());
+    assertEquals(machines, need.machinesHeld());
+  }
+
+  @Test
+  void whatItHoldsIsCountedThroughAllChanges() {
+    Random random = new Random(1);
+    Job job = array();
+    for (int i = 0; i < 500; i++) {
+      int task = random.nextInt(TASKS);
+      Placed there = job.at(task);
+      if (there != null && random.nextBoolean()) {
+        job.unplace(there, i);
+        // Told once more, it changes nothing.
+        job.unplace(there, i);
+      } else {
+        job.place(place(job, task, random.nextInt(5)));
+      }
+      assertHolds(job, null);
+      List<Placed> placed = job.placed();
+      if (!placed.isEmpty()) {
+        assertHolds(job, placed.get(random.nextInt(placed.size())));
+      }
+    }
+  }
+
+  @Test
+  void aFinishedAttemptWaitsOnceForItsClear() {
+    Job job = array();
+    assertTrue(job.clears.add(new Job.Clear(3, 7, "n1")));
+    assertFalse(job.clears.add(new Job.Clear(3, 7, "n1")));
+  }
+}
