Opportunistic work starts in parts, and jobs that have not begun go first

Cause: of a guest team's jobs the queue took them by arrival.

Change: arrays of the lowest rank that may use spot machines, of teams without a guarantee, start in parts on what is idle, and those of which nothing runs go before those of which something does.

--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -891,11 +891,20 @@
     }
     queue.sort(
         Comparator.comparing((Job job) -> job.spec.rank())
+            .thenComparing(this::givesWayToUnbegun)
             .thenComparingLong(job -> job.acceptedAt)
             .thenComparing(job -> job.spec.id()));
     return queue;
   }
 
+  /**
+   * Of opportunistic jobs those of which nothing runs go first, so that each of them begins. By
+   * arrival alone, jobs of one task waited for minutes behind an array of thousands.
+   */
+  private boolean givesWayToUnbegun(Job job) {
+    return job.holding() > 0 && teams.get(job.spec.team()).isOpportunistic(job.spec);
+  }
+
   private void plan() {
     planning = false;
     long began = loop.nanos();
@@ -937,38 +946,51 @@
       Team team = teams.get(job.spec.team());
       int allowed = team.allowed(job.spec.cpus(), job.spec.gpus());
       int count = Math.min(job.waitingCount, allowed);
-      // What the team's limit does not allow now is planned in parts: a whole job that waits for
-      // the
-      // limit is starved by the parts of larger ones, which take each place as it falls free.
-      // Nor is a job left waiting for ever for room that a small fleet never has at once.
-      double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
-      boolean gang = job.spec.gang();
-      boolean whole =
-          gang || (!job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S);
-      if (count == 0 || (gang && count < job.waitingCount)) {
+      if (count == 0 || (job.spec.gang() && count < job.waitingCount)) {
         job.waitsBecause(
             new WaitReason.TeamLimit(
                 team.name, job.spec.cpus(), team.limits.cpusMax(), job.waitingCount));
-        continue;
-      }
-      Planner.Plan plan = find(job, count, whole, free);
-      if (plan == null) {
-        job.waitsBecause(noRoom(job, whole ? count : 1));
-        preemptor.release(team, job);
-        preemptor.preempt(team, job, count, free, whole);
-        double reserveAfterS = gang ? Constants.GANG_GATHER_AFTER_S : Constants.GATHER_AFTER_S;
-        if (whole && count > 1 && waitedS > reserveAfterS) {
-          preemptor.reserveFreeRoom(team, job, count, free);
-        }
-      } else if (gang && !preemptor.holdsReservation(job)) {
-        preemptor.reserve(team, job, plan);
       } else {
-        preemptor.releaseUnused(team, job, plan);
-        carryOut(team, job, plan);
+        planJob(team, job, count, free);
+      }
+    }
+  }
+
+  private void planJob(Team team, Job job, int count, List<Room> free) {
+    double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
+    boolean gang = job.spec.gang();
+    boolean whole = gang || waitsForAll(team, job, count, waitedS);
+    Planner.Plan plan = find(job, count, whole, free);
+    if (plan == null) {
+      job.waitsBecause(noRoom(job, whole ? count : 1));
+      preemptor.release(team, job);
+      preemptor.preempt(team, job, count, free, whole);
+      double reserveAfterS = gang ? Constants.GANG_GATHER_AFTER_S : Constants.GATHER_AFTER_S;
+      if (whole && count > 1 && waitedS > reserveAfterS) {
+        preemptor.reserveFreeRoom(team, job, count, free);
       }
+    } else if (gang && !preemptor.holdsReservation(job)) {
+      preemptor.reserve(team, job, plan);
+    } else {
+      preemptor.releaseUnused(team, job, plan);
+      carryOut(team, job, plan);
     }
   }
 
+  /**
+   * Whether the job starts only when all of its tasks have a place. What the team's limit does not
+   * allow now is planned in parts: a whole job that waits for the limit is starved by the parts of
+   * larger ones, which take each place as it falls free. Nor is a job left waiting for ever for
+   * room that a small fleet never has at once. Opportunistic work takes what is idle, however
+   * little.
+   */
+  private static boolean waitsForAll(Team team, Job job, int count, double waitedS) {
+    return !job.started
+        && count == job.waitingCount
+        && waitedS <= Constants.PARTS_AFTER_S
+        && !team.isOpportunistic(job.spec);
+  }
+
   private static WaitReason noRoom(Job job, int tasks) {
     JobSpec s = job.spec;
     return s.gang()
--- a/src/main/java/org/sandford/job/Team.java
+++ b/src/main/java/org/sandford/job/Team.java
@@ -61,6 +61,17 @@
     phase = next;
   }
 
+  /**
+   * Whether the job is opportunistic: an array of the lowest rank that may use spot machines, of a
+   * team without a guarantee. It uses what is idle, and is the first to be stopped.
+   */
+  boolean isOpportunistic(JobSpec spec) {
+    return spec.shape() == JobSpec.Shape.ARRAY
+        && spec.rank() == JobSpec.Rank.BEST_EFFORT
+        && spec.reclaimable()
+        && !limits.hasGuarantee();
+  }
+
   /** Whether it can take and answer calls. */
   boolean speaks() {
     return phase == Phase.SETTLING || phase == Phase.READY;
--- a/src/main/java/org/sandford/settings/Settings.java
+++ b/src/main/java/org/sandford/settings/Settings.java
@@ -41,6 +41,11 @@
       return new Team(name, cpus, limit(cpusMax), gpus, limit(gpusMax));
     }
 
+    /** Whether anything is guaranteed to the team. */
+    public boolean hasGuarantee() {
+      return cpus > 0 || gpus > 0;
+    }
+
     private static double limit(double given) {
       return given == 0 ? NO_LIMIT : given;
     }
