What was remembered of a task gives way to the attempt of a later owner

What it had kept of their machines named attempts from before; the live attempt that a later owner had started elsewhere then counted as a second one, and was stopped and forgotten.

Change: an attempt of a former owner with a higher number than the one known takes its place, and the older one is told to stop.

--- a/src/main/java/org/sandford/job/Job.java
+++ b/src/main/java/org/sandford/job/Job.java
@@ -283,6 +283,7 @@
   void place(Placed at) {
     Placed former = placed.put(at.task, at);
     if (former != null) {
+      running -= former.runs();
       zonesHeld.remove(former.zone);
       machinesHeld.remove(former.machine);
     }
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -558,38 +558,13 @@
       ask(view, stopOf(job, view.machine, task.task, task.attempt, 0));
       return;
     }
-    if (p == null) {
-      // Found after a takeover.
-      p =
-          new Placed(
-              job,
-              task.task,
-              task.attempt,
-              view.machine,
-              view.generation,
-              from,
-              linkRounds.getOrDefault(from, 0),
-              view.zone,
-              TaskPhase.PLACED,
-              now);
-      place(job, p);
-      job.started = true;
-    } else if (!mine) {
-      if (!share.holdValid()) {
-        // The team may have another owner by now, whose attempt this is.
-        return;
-      }
-      log.error(
-          "{}/{} is on {} as attempt {} beside attempt {} on {}",
-          job.spec.id(),
-          task.task,
-          view.machine,
-          task.attempt,
-          p.attempt,
-          p.machine);
-      ask(view, stopOf(job, view.machine, task.task, task.attempt, 0));
+    if (p != null && !mine && !isOfLaterOwner(job, task, p)) {
+      stopOther(view, job, task, p);
       return;
     }
+    if (!mine) {
+      p = found(from, view, job, task);
+    }
     p.becomes(
         task.state == TaskState.RUNNING
             ? TaskPhase.RUNNING
@@ -624,6 +599,67 @@
     lookAtGang(job);
   }
 
+  /**
+   * Whether a former owner of the team started this attempt after the one known here had ended.
+   * What was kept of a machine from before this controller lost the team, and was given it back,
+   * may be old: the attempt that stands there is long gone, since a later owner starts a task anew
+   * only then. Taken for the true one, it had the live attempt stopped and forgotten.
+   */
+  private boolean isOfLaterOwner(Job job, TaskView task, Placed known) {
+    boolean ofFormerOwner = Team.generationOf(task.attempt) < generation(job);
+    return ofFormerOwner && task.attempt > known.attempt;
+  }
+
+  /** Has an attempt stopped beside which the task has another. */
+  private void stopOther(MachineView view, Job job, TaskView task, Placed known) {
+    if (!share.holdValid()) {
+      // The team may have another owner by now, whose attempt this is.
+      return;
+    }
+    log.error(
+        "{}/{} is on {} as attempt {} beside attempt {} on {}",
+        job.spec.id(),
+        task.task,
+        view.machine,
+        task.attempt,
+        known.attempt,
+        known.machine);
+    ask(view, stopOf(job, view.machine, task.task, task.attempt, 0));
+  }
+
+  /** An attempt of a former owner, in place of an older one if there is any. */
+  private Placed found(String from, MachineView view, Job job, TaskView task) {
+    Placed older = job.at(task.task);
+    if (older != null) {
+      log.info(
+          "{}/{} is on {}: attempt {} is later than {} on {}",
+          job.spec.id(),
+          task.task,
+          view.machine,
+          task.attempt,
+          older.attempt,
+          older.machine);
+      stop(job, older, 0);
+      rooms.unplaced(older);
+      teams.get(job.spec.team()).givesUp(job);
+    }
+    Placed found =
+        new Placed(
+            job,
+            task.task,
+            task.attempt,
+            view.machine,
+            view.generation,
+            from,
+            linkRounds.getOrDefault(from, 0),
+            view.zone,
+            TaskPhase.PLACED,
+            loop.nanos());
+    place(job, found);
+    job.started = true;
+    return found;
+  }
+
   private StopTask stopOf(Job job, String machine, int task, long attempt, int graceS) {
     return new StopTask(
         job.spec.team(), generation(job), machine, job.spec.id(), task, attempt, graceS);
@@ -959,7 +995,7 @@
   private void planJob(Team team, Job job, int count, List<Room> free) {
     double waitedS = (loop.nanos() - job.waitingSince) / 1e9;
     boolean gang = job.spec.gang();
-    boolean whole = gang || waitsForAll(team, job, count, waitedS);
+    boolean whole = gang || waitsForAll(job, count, waitedS);
     Planner.Plan plan = find(job, count, whole, free);
     if (plan == null) {
       job.waitsBecause(noRoom(job, whole ? count : 1));
@@ -981,14 +1017,10 @@
    * Whether the job starts only when all of its tasks have a place. What the team's limit does not
    * allow now is planned in parts: a whole job that waits for the limit is starved by the parts of
    * larger ones, which take each place as it falls free. Nor is a job left waiting for ever for
-   * room that a small fleet never has at once. Opportunistic work takes what is idle, however
-   * little.
+   * room that a small fleet never has at once.
    */
-  private static boolean waitsForAll(Team team, Job job, int count, double waitedS) {
-    return !job.started
-        && count == job.waitingCount
-        && waitedS <= Constants.PARTS_AFTER_S
-        && !team.isOpportunistic(job.spec);
+  private static boolean waitsForAll(Job job, int count, double waitedS) {
+    return !job.started && count == job.waitingCount && waitedS <= Constants.PARTS_AFTER_S;
   }
 
   private static WaitReason noRoom(Job job, int tasks) {
--- a/src/main/java/org/sandford/job/Team.java
+++ b/src/main/java/org/sandford/job/Team.java
@@ -63,7 +63,7 @@
 
   /**
    * Whether the job is opportunistic: an array of the lowest rank that may use spot machines, of a
-   * team without a guarantee. It uses what is idle, and is the first to be stopped.
+   * team without a guarantee. It runs on what others leave, and is the first to be stopped.
    */
   boolean isOpportunistic(JobSpec spec) {
     return spec.shape() == JobSpec.Shape.ARRAY
@@ -84,6 +84,11 @@
     return generation * Constants.ATTEMPTS_PER_GENERATION + ++attempts;
   }
 
+  /** The generation of the team under which the attempt was started. */
+  static long generationOf(long attempt) {
+    return attempt / Constants.ATTEMPTS_PER_GENERATION;
+  }
+
   /**
    * Counts anew what the tasks of its jobs hold, once for a whole planning round: counted for each
    * job of the round, it cost as many steps as there are pairs of jobs. What is untracked is added
