Tests of single classes share one loop whose clock stands still

Need: the same stand-in for the loop stood in CancellationsTest and StateClientTest. TokenBucketTest keeps its own, which refuses timers.

Change: core.ManualLoop in the test tree; no assertion changed.

--- a/src/test/java/org/sandford/cancel/CancellationsTest.java
+++ b/src/test/java/org/sandford/cancel/CancellationsTest.java
@@ -9,7 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
-import org.sandford.core.Loop;
+import org.sandford.core.ManualLoop;
 import org.sandford.peer.wire.CancellationsAsked;
 import org.sandford.peer.wire.CancellationsTold;
 import org.sandford.peer.wire.Cancelled;
@@ -23,7 +23,7 @@
   /** Any renewal later than this after what is known would let a task outlive the bound. */
   private static final double LAST_RENEWAL_S = CANCEL_S - LEASE_S;
 
-  private final Clock clock = new Clock();
+  private final ManualLoop clock = new ManualLoop();
   private final List<Object> sent = new ArrayList<>();
   private final List<String> heard = new ArrayList<>();
   private long seenAt = Long.MIN_VALUE / 2;
@@ -31,34 +31,6 @@
   private long mapRevision = 10;
   private String life = "c0#1";
 
-  private static final class Clock implements Loop {
-    long now = 1_000_000_000_000L;
-
-    @Override
-    public long nanos() {
-      return now;
-    }
-
-    @Override
-    public long wallMillis() {
-      return now / 1_000_000;
-    }
-
-    @Override
-    public Timer after(long millis, Runnable what) {
-      return () -> {};
-    }
-
-    @Override
-    public void execute(Runnable what) {
-      what.run();
-    }
-
-    void pass(double seconds) {
-      now += (long) (seconds * 1e9);
-    }
-  }
-
   private Cancellations controller() {
     Settings.Endpoint any = new Settings.Endpoint("c0", 80);
     Settings settings =
@@ -122,14 +94,14 @@
   }
 
   private void readStore() {
-    seenAt = clock.now;
-    if (knownSince > clock.now) {
-      knownSince = clock.now;
+    seenAt = clock.nanos();
+    if (knownSince > clock.nanos()) {
+      knownSince = clock.nanos();
     }
   }
 
   private CancellationsTold shown(String ofLife, long since, long upTo, String... jobs) {
-    return new CancellationsTold(clock.now, ofLife, since, upTo, List.of(jobs), mapRevision);
+    return new CancellationsTold(clock.nanos(), ofLife, since, upTo, List.of(jobs), mapRevision);
   }
 
   private void allShow(Cancellations c) {
--- a/src/test/java/org/sandford/state/StateClientTest.java
+++ b/src/test/java/org/sandford/state/StateClientTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.sandford.core.HttpCalls;
 import org.sandford.core.Loop;
+import org.sandford.core.ManualLoop;
 import org.sandford.state.StateClient.Op;
 import org.sandford.state.StateClient.Priority;
 
@@ -20,28 +21,8 @@
   private final List<String> sent = new ArrayList<>();
 
   /** Time stands still, so that nothing leaves beyond the first burst. */
-  private final Loop loop =
-      new Loop() {
-        @Override
-        public long nanos() {
-          return 1;
-        }
-
-        @Override
-        public long wallMillis() {
-          return 1;
-        }
-
-        @Override
-        public Timer after(long millis, Runnable what) {
-          return () -> {};
-        }
-
-        @Override
-        public void execute(Runnable what) {
-          what.run();
-        }
-      };
+  /** Time stands still, so that nothing leaves beyond the first burst. */
+  private final Loop loop = new ManualLoop();
 
   private final HttpCalls http = (address, method, path, body, timeoutMs, done) -> sent.add(path);
   private final StateClient state = new StateClient(loop, http, "store:1", RPS, RPS);
