--- a/src/main/java/org/sandford/Constants.java
+++ b/src/main/java/org/sandford/Constants.java
@@ -560,6 +560,11 @@
   /** Share of its processors in use below which emptying a machine may pay. */
   public static final double VACATE_BELOW = 0.5;
 
+  /**
+   * Tasks of one CPU by whose price the machines for that are chosen: a few, as a service asks for.
+   */
+  public static final int HEADROOM_TASKS = 4;
+
   /** Share of the fleet's processors kept free for work that may not wait. */
   public static final double HEADROOM_SHARE = 0.08;
 
--- a/src/main/java/org/sandford/capacity/RentalPlanner.java
+++ b/src/main/java/org/sandford/capacity/RentalPlanner.java
@@ -31,9 +31,6 @@
    */
   record Market(Map<String, Flavor> flavors, boolean useSpot, Predicate<Pool> mayRent) {}
 
-  /** Tasks for which headroom's machine is chosen: the price of a few CPUs decides. */
-  private static final int HEADROOM_TASKS = 4;
-
   private final Market market;
   private final List<Room> rooms;
 
@@ -104,7 +101,7 @@
             "", 0, 0, 1, 0, 1, Set.of(), "", false, false, false, false, false, 1, Map.of(),
             Set.of(), Set.of(), "");
     while (free < Constants.HEADROOM_SHARE * total && most > 0) {
-      Pool pool = cheapest(any, HEADROOM_TASKS);
+      Pool pool = cheapest(any, Constants.HEADROOM_TASKS);
       if (pool == null) {
         return;
       }
--- a/src/main/java/org/sandford/job/Jobs.java
+++ b/src/main/java/org/sandford/job/Jobs.java
@@ -640,6 +640,7 @@
           older.attempt,
           older.machine);
       stop(job, older, 0);
+      // Not by unplace, in between which a gang would seem to lack the task.
       rooms.unplaced(older);
       teams.get(job.spec.team()).givesUp(job);
     }
