Review: a run that ends leaves no process behind

Cause: a restart that was under way as a run ended could start a controller after the others were ended; an interrupted script removed its folder before its processes had ended.

Change: the end of a run waits for a start under way, and run.sh for its processes.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -14,6 +14,8 @@
 trap 'kill "$runner" 2>/dev/null' INT TERM
 wait "$runner"
 status=$?
+# After a signal to this script, its processes still have to end before their folder is removed.
+wait "$runner" 2>/dev/null
 [ -n "$KEEP_LOGS" ] && cp "$temp"/*.log "$KEEP_LOGS"/ 2>/dev/null
 rm -rf "$temp"
 case $status in 0 | 1) exit $status ;; *) exit 2 ;; esac
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -347,8 +347,11 @@
   private void end() {
     ending = true;
     for (Controller controller : controllers) {
-      if (controller.process != null) {
-        controller.process.destroyForcibly();
+      // A start that is under way finishes first; none begins afterwards.
+      synchronized (controller) {
+        if (controller.process != null) {
+          controller.process.destroyForcibly();
+        }
       }
     }
     for (Controller controller : controllers) {
