Count and log the requests to hand over a team, and their refusals

A request that was not carried out left no trace on either side.

Change: the leader counts and logs each request (handovers_requested, request_handover), the owner each one that it does not carry out and why (handovers_refused, refuse_handover). Counters appear in the summary at info, the lines at debug.

--- a/src/main/java/org/sandford/audit/AuditLog.java
+++ b/src/main/java/org/sandford/audit/AuditLog.java
@@ -76,6 +76,22 @@
     log.info("disown team={} generation={} why={}", team, generation, reason);
   }
 
+  /** Records that this leader requests the team's owner to hand it over. */
+  public void handoverRequested(String team, long generation, String owner) {
+    increment("handovers_requested");
+    log.debug("request_handover team={} generation={} owner={}", team, generation, owner);
+  }
+
+  /**
+   * Records that this controller does not carry out a leader's request to hand over a team.
+   *
+   * @param reason the state of the team here that prevents it
+   */
+  public void handoverRefused(String team, long generation, String reason) {
+    increment("handovers_refused");
+    log.debug("refuse_handover team={} generation={} why={}", team, generation, reason);
+  }
+
   /** Records that this controller learned a job's terminal state. */
   public void terminalStateLearned(String job, String state, LearnedBy via, long revision) {
     increment(
--- a/src/main/java/org/sandford/controller/Controller.java
+++ b/src/main/java/org/sandford/controller/Controller.java
@@ -16,6 +16,7 @@
 import org.sandford.cancel.Cancellations;
 import org.sandford.cloud.CloudClient;
 import org.sandford.cloud.InstanceType;
+import org.sandford.cluster.AssignmentMap.TeamAssignment;
 import org.sandford.cluster.Cluster;
 import org.sandford.cluster.RecordVersions;
 import org.sandford.constants.PeerConstants;
@@ -207,13 +208,13 @@
       links.request(cluster.leaderLabel(), new Demand(new ArrayList<>(jobs.demand())));
     }
     links.publish(PeerLinks.heartbeat(cluster.sessionLeaseValid()));
-    cluster
-        .teamsToHandOver()
-        .forEach(
-            (team, assignment) ->
-                links.request(
-                    Cluster.labelOf(assignment.owner()),
-                    new HandOverTeam(team, assignment.generation())));
+    cluster.teamsToHandOver().forEach(this::requestHandover);
+  }
+
+  private void requestHandover(String team, TeamAssignment assignment) {
+    audit.handoverRequested(team, assignment.generation(), assignment.owner());
+    links.request(
+        Cluster.labelOf(assignment.owner()), new HandOverTeam(team, assignment.generation()));
   }
 
   private void logSummary() {
--- a/src/main/java/org/sandford/job/TeamOwnership.java
+++ b/src/main/java/org/sandford/job/TeamOwnership.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.sandford.audit.AuditLog;
 import org.sandford.cluster.AssignmentMap.TeamAssignment;
@@ -124,6 +125,7 @@
   boolean handOver(String name, long generation) {
     Team team = owned.team(name);
     if (team == null || team.generation != generation || !team.isServed()) {
+      audit.handoverRefused(name, generation, refusalReason(team, generation));
       return false;
     }
     log.info("team handed over team={} generation={}", name, generation);
@@ -131,4 +133,13 @@
     team.transitionTo(Team.Phase.HANDED_OVER);
     return true;
   }
+
+  private static String refusalReason(Team team, long generation) {
+    if (team == null) {
+      return "not_owned";
+    }
+    return team.generation == generation
+        ? team.phase().name().toLowerCase(Locale.ROOT)
+        : "other_generation";
+  }
 }
