A handed over team is announced until the map names its next owner

Cause: an owner that confirms a handover serves the team no more and waits for the leader's write of the next owner. Only that leader's memory knew that it waits. The confirmation was sent once; a later request for the same handover was refused, because the team is not served, and a leader that wants no team moved any more never asks. The state had no way out.

Change: the owner announces the handover to all controllers with each heartbeat until the map names another generation, and confirms a repeated request again. The owner does not take the team back, since a confirmation on its way or a late write would then make two owners. No team is served again under a generation in which it was handed over, so the announcement stays true however late it arrives.

Regression tests: six scenarios, with a leader that ends before, during and after its write, a write that is carried out late, a lost reply, a next leader that wants no move, and a request that is late.

--- a/src/main/java/org/sandford/controller/Controller.java
+++ b/src/main/java/org/sandford/controller/Controller.java
@@ -209,6 +209,7 @@
     }
     links.publish(PeerLinks.heartbeat(cluster.sessionLeaseValid()));
     cluster.teamsToHandOver().forEach(this::requestHandover);
+    jobs.announceHandovers();
   }
 
   private void requestHandover(String team, TeamAssignment assignment) {
--- a/src/main/java/org/sandford/job/JobScheduler.java
+++ b/src/main/java/org/sandford/job/JobScheduler.java
@@ -216,6 +216,11 @@
     return ownership.handOver(name, generation);
   }
 
+  /** Announces the teams that were handed over and have no next owner yet; once a heartbeat. */
+  public void announceHandovers() {
+    ownership.announceHandovers();
+  }
+
   /** Handles a new link to another controller, the first or a later one. */
   public void linkEstablished(String peer) {
     commands.linkEstablished(peer);
--- a/src/main/java/org/sandford/job/TeamOwnership.java
+++ b/src/main/java/org/sandford/job/TeamOwnership.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import org.sandford.audit.AuditLog;
 import org.sandford.cluster.AssignmentMap.TeamAssignment;
 import org.sandford.cluster.Cluster;
@@ -12,6 +12,7 @@
 import org.sandford.peer.PeerLinks;
 import org.sandford.peer.wire.ClaimReply;
 import org.sandford.peer.wire.ClaimTeam;
+import org.sandford.peer.wire.TeamHandedOver;
 import org.sandford.settings.Settings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -120,26 +121,49 @@
 
   /**
    * Hands over a team that the leader wants another controller to own: this one answers and decides
-   * nothing more for it. Returns false if the team is not served here under this generation.
+   * nothing more for it under this generation. A repeated request is confirmed again, since the
+   * first confirmation may be lost.
+   *
+   * @return whether the team is handed over; false if it is not served here under this generation
    */
   boolean handOver(String name, long generation) {
     Team team = owned.team(name);
-    if (team == null || team.generation != generation || !team.isServed()) {
-      audit.handoverRefused(name, generation, refusalReason(team, generation));
+    Optional<HandoverRefusal> refusal = checkHandover(team, generation);
+    if (refusal.isPresent()) {
+      audit.handoverRefused(name, generation, refusal.get().logName());
       return false;
     }
-    log.info("team handed over team={} generation={}", name, generation);
-    audit.teamRelinquished(name, generation, "yield");
-    team.transitionTo(Team.Phase.HANDED_OVER);
+    if (team.isServed()) {
+      log.info("team handed over team={} generation={}", name, generation);
+      audit.teamRelinquished(name, generation, "yield");
+      team.transitionTo(Team.Phase.HANDED_OVER);
+    }
     return true;
   }
 
-  private static String refusalReason(Team team, long generation) {
+  private static Optional<HandoverRefusal> checkHandover(Team team, long generation) {
     if (team == null) {
-      return "not_owned";
+      return Optional.of(HandoverRefusal.NOT_OWNED);
+    }
+    if (team.generation != generation) {
+      return Optional.of(HandoverRefusal.OTHER_GENERATION);
+    }
+    return team.phase() == Team.Phase.LOADING
+        ? Optional.of(HandoverRefusal.LOADING)
+        : Optional.empty();
+  }
+
+  /**
+   * Announces to all controllers the teams that were handed over and have no next owner yet. Called
+   * once a heartbeat. A leader remembers a handover only until it ends, so without the announcement
+   * the team would have no owner after that. It stays true however late it arrives: no team is
+   * served again under a generation in which it was handed over.
+   */
+  void announceHandovers() {
+    for (Team team : owned.teams().values()) {
+      if (team.phase() == Team.Phase.HANDED_OVER) {
+        links.publish(new TeamHandedOver(team.name, team.generation));
+      }
     }
-    return team.generation == generation
-        ? team.phase().name().toLowerCase(Locale.ROOT)
-        : "other_generation";
   }
 }
--- a/src/test/java/org/sandford/scenario/FakeStore.java
+++ b/src/test/java/org/sandford/scenario/FakeStore.java
@@ -58,6 +58,18 @@
   /** The maximum delay of every answer, in milliseconds. */
   int maxAnswerDelayMs;
 
+  /** Sees each transaction before it is carried out; returns whether it takes it over. */
+  interface TransactionInterceptor {
+    /**
+     * Returns whether the store leaves the transaction, and its answer, to the interceptor.
+     *
+     * @param execute carries out the transaction without an answer
+     */
+    boolean intercepts(String from, JsonNode transaction, Runnable execute);
+  }
+
+  TransactionInterceptor interceptor = (from, transaction, execute) -> false;
+
   /** Counts puts to the machines' partitions of the assignment map. */
   long assignmentMapWrites;
 
@@ -179,6 +191,8 @@
     } else if (path.equals("/txn")) {
       if (throttledHosts.contains(from)) {
         respond.accept(new Response(429, Json.object()));
+      } else if (interceptor.intercepts(from, Json.read(body), () -> transact(Json.read(body)))) {
+        return;
       } else if (lateWritePercent > 0 && simulation.random.nextInt(100) < lateWritePercent) {
         simulation.after(
             2_000 + simulation.random.nextInt(10_000),
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -59,6 +59,10 @@
         new ScenarioHosts(simulation, store, cloud, controllers, workers, this::absentWorker);
     steps = new ScenarioSteps(simulation, script, store, cloud, controllers, hosts, users);
     expectations = new ScenarioExpectations(cloud, store, rules, controllers, submittedJobs);
+    HandoverFaults handoverFaults = new HandoverFaults(simulation, store, controllers);
+    steps.register("handover_fault", handoverFaults::arm);
+    steps.register("late_request", new LateRequests(store, controllers, hosts)::deliver);
+    expectations.register("handover_faults", step -> handoverFaults.count());
     steps.register("reset_counts", step -> expectations.resetCounts());
     steps.register("expect", expectations::check);
   }
--- a/src/test/java/org/sandford/scenario/ScenarioExpectations.java
+++ b/src/test/java/org/sandford/scenario/ScenarioExpectations.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
+import org.sandford.cluster.Cluster;
 import org.sandford.machine.MachineSnapshots;
 
 /**
@@ -49,6 +50,11 @@
     assignmentMapWritesBefore = store.assignmentMapWrites;
   }
 
+  /** Registers a value by its name. */
+  void register(String name, Function<ScenarioScript.Step, Object> value) {
+    values.put(name, value);
+  }
+
   private void registerValues() {
     values.put("reported", step -> rules.reportedStatus(step.word(2)));
     values.put("submission_status", step -> job(step).submissionStatus);
@@ -69,6 +75,7 @@
     values.put("gang_runs", step -> job(step).gangRuns);
     values.put("orderly_stops", step -> job(step).orderlyStops);
     values.put("lost_with_lease", step -> rules.lostWithLease);
+    values.put("team_generation", step -> teamGeneration(step.word(2)));
     values.put("key_stored", step -> store.containsKey(step.word(2)));
   }
 
@@ -95,6 +102,11 @@
     return actual.equals(expected);
   }
 
+  /** Returns the generation of the team's ownership in the stored assignment map. */
+  private long teamGeneration(String team) {
+    return store.value(Cluster.TEAMS_KEY).path("t").path(team).path(1).asLong();
+  }
+
   private UserJob job(ScenarioScript.Step step) {
     return submittedJobs.get(step.word(2));
   }
--- a/src/test/java/org/sandford/scenario/SimulatedControllers.java
+++ b/src/test/java/org/sandford/scenario/SimulatedControllers.java
@@ -78,6 +78,13 @@
     return processes.values().stream().anyMatch(Simulation.ProcessLoop::frozen);
   }
 
+  /** Delivers a request of another controller, as if a link had held it back until now. */
+  void deliverRequest(String sender, String receiver, Object request) {
+    processes
+        .get(receiver)
+        .whenAwake(() -> running.get(receiver).handleRequest(sender, request, reply -> {}));
+  }
+
   void freeze(String label, double seconds) {
     processes.get(label).freeze(seconds);
   }
--- a/src/test/java/org/sandford/scenario/SimulatedPeerTransport.java
+++ b/src/test/java/org/sandford/scenario/SimulatedPeerTransport.java
@@ -83,6 +83,10 @@
 
     @Override
     public void send(byte[] frame) {
+      if (owner.simulation.breaksConnection.test(frame)) {
+        close();
+        return;
+      }
       owner.simulation.deliver(
           owner.host,
           remote,
--- a/src/test/java/org/sandford/scenario/Simulation.java
+++ b/src/test/java/org/sandford/scenario/Simulation.java
@@ -57,6 +57,9 @@
   java.util.function.Consumer<com.fasterxml.jackson.databind.JsonNode> ordersSentListener =
       orders -> {};
 
+  /** Returns whether the connection breaks in place of carrying this frame between controllers. */
+  java.util.function.Predicate<byte[]> breaksConnection = frame -> false;
+
   private final Set<String> deadHosts = new HashSet<>();
   private long now = 1_000 * MS;
   private long nextOrder;
