Drop late requests of a former leader

Cause: HandOverTeam, DrainMachine and DecommissionMachine were carried out whoever sent them, so one that a link holds back is carried out although its sender no longer leads: a team loses its owner for a moment, a machine takes no tasks until the next leader ends the drain, or a machine that runs tasks is decommissioned.

Change: one check at the dispatch of these three, Controller.onlyFromLeader: the sender must be the leader as far as is known here. Refusals are counted (requests_not_from_leader). Preempt, which the owner of a team sends, expires after 2.5 s and is not changed.

--- a/src/main/java/org/sandford/audit/AuditLog.java
+++ b/src/main/java/org/sandford/audit/AuditLog.java
@@ -92,6 +92,12 @@
     log.debug("refuse_handover team={} generation={} why={}", team, generation, reason);
   }
 
+  /** Records that a request which only the leader may make came from another controller. */
+  public void leaderRequestRefused(String sender, String type) {
+    increment("requests_not_from_leader");
+    log.debug("refuse_request sender={} type={} why=not_from_leader", sender, type);
+  }
+
   /** Records that this controller learned a job's terminal state. */
   public void terminalStateLearned(String job, String state, LearnedBy via, long revision) {
     increment(
--- a/src/main/java/org/sandford/controller/Controller.java
+++ b/src/main/java/org/sandford/controller/Controller.java
@@ -292,9 +292,13 @@
     router.onRequest(Preempt.class, machineShard::preempt);
     router.onRequest(
         ClaimTeam.class, (sender, claim, reply) -> machineShard.claimTeam(claim, reply));
-    router.onRequest(DecommissionMachine.class, machineShard::decommission);
-    router.onRequest(DrainMachine.class, machineShard::drain);
-    router.onRequest(HandOverTeam.class, this::handOverTeam);
+    router.onRequest(
+        DecommissionMachine.class,
+        onlyFromLeader((sender, request, reply) -> machineShard.decommission(request)));
+    router.onRequest(
+        DrainMachine.class,
+        onlyFromLeader((sender, request, reply) -> machineShard.drain(request)));
+    router.onRequest(HandOverTeam.class, onlyFromLeader(this::handOverTeam));
     router.onRequest(
         Demand.class, (sender, demand, reply) -> autoscaler.reportDemand(sender, demand.classes));
     router.onRequest(MachineDiscovered.class, this::addDiscoveredMachine);
@@ -303,6 +307,22 @@
     router.onRequest(AssignmentRevisions.class, this::replyWithMissingAssignments);
   }
 
+  /**
+   * Returns a handler that drops requests of a controller that is not the leader as far as is known
+   * here: those of a former leader may arrive late. A leader that is not known here yet repeats its
+   * requests.
+   */
+  private <T> PeerMessageRouter.RequestHandler<T> onlyFromLeader(
+      PeerMessageRouter.RequestHandler<T> handler) {
+    return (sender, request, reply) -> {
+      if (sender.equals(cluster.leaderLabel())) {
+        handler.handle(sender, request, reply);
+      } else {
+        audit.leaderRequestRefused(sender, request.getClass().getSimpleName());
+      }
+    };
+  }
+
   private void registerResponseHandlers() {
     router.onResponse(SnapshotUpdate.class, this::applySnapshots);
     router.onResponse(StartReply.class, jobs::startReplied);
--- a/src/test/java/org/sandford/scenario/ScenarioHosts.java
+++ b/src/test/java/org/sandford/scenario/ScenarioHosts.java
@@ -51,14 +51,17 @@
   }
 
   /**
-   * Returns a controller's label. {@code leader} is the present leader, {@code team_owner:red} the
-   * owner of the team and {@code machine_owner:m:1} the owner of the machine, all as stored; if
-   * that one does not run, any running controller is returned.
+   * Returns a controller's label. {@code leader} is the present leader, {@code follower} the first
+   * running controller that does not lead, {@code team_owner:red} the owner of the team and {@code
+   * machine_owner:m:1} the owner of the machine, all as stored; if that one does not run, any
+   * running controller is returned.
    */
   String controller(String word) {
     String id;
     if (word.equals("leader")) {
-      id = textField(store.value("c/leader"), "id");
+      id = leaderId();
+    } else if (word.equals("follower")) {
+      id = follower();
     } else if (word.startsWith("team_owner:")) {
       id = teamOwner(word.substring("team_owner:".length()));
     } else if (word.startsWith("machine_owner:")) {
@@ -70,6 +73,18 @@
     return controllers.isRunning(label) ? label : controllers.anyRunning();
   }
 
+  private String leaderId() {
+    return textField(store.value("c/leader"), "id");
+  }
+
+  private String follower() {
+    String leader = Cluster.labelOf(leaderId());
+    return controllers.runningLabels().stream()
+        .filter(label -> !label.equals(leader))
+        .findFirst()
+        .orElseThrow();
+  }
+
   /** Returns the member id of the team's owner in the stored assignment map, or an empty string. */
   private String teamOwner(String team) {
     JsonNode teamsRecord = store.value(Cluster.TEAMS_KEY);
