Repeat a stop that was lost with its link

Callers would see: a service of one replica is reported as queued for good while its replica runs.

Cause: the owner of the team requests a stop once and counts the task as stopping from then on; only the machine's owner remembers the request. Cancelled jobs and gangs repeat their stops, a replica that moves off a draining machine did not.

A repeated stop of the same grace changes nothing at the machine's owner. The scenario runner loses a frame by its type (lose_frame), which handover-reply-lost uses too.

--- a/src/main/java/org/sandford/job/TaskCommands.java
+++ b/src/main/java/org/sandford/job/TaskCommands.java
@@ -87,10 +87,15 @@
   void stop(TaskPlacement placement, int graceS) {
     stop(placement.job, placement.machine, placement.task, placement.attempt, graceS);
     if (placement.phase() != TaskPhase.REQUESTED) {
-      placement.transitionTo(TaskPhase.STOPPING);
+      placement.recordStop(graceS);
     }
   }
 
+  /** Requests a stop again as it was requested last. */
+  void repeatStop(TaskPlacement placement) {
+    stop(placement, placement.stopGraceS());
+  }
+
   /** Requests the stop without grace of an attempt that is not its task's placement. */
   void stopAttempt(Job job, String machine, int task, long attempt) {
     stop(job, machine, task, attempt, 0);
--- a/src/main/java/org/sandford/job/TaskPlacement.java
+++ b/src/main/java/org/sandford/job/TaskPlacement.java
@@ -21,6 +21,9 @@
   final String zone;
   private TaskPhase phase;
 
+  /** The seconds to save a checkpoint in the last requested stop. */
+  private int stopGraceS;
+
   TaskPlacement(
       Job job,
       int task,
@@ -50,6 +53,17 @@
     return phase == TaskPhase.RUNNING;
   }
 
+  /** Records that a stop was requested, with {@code graceS} seconds to save a checkpoint. */
+  void recordStop(int graceS) {
+    stopGraceS = graceS;
+    transitionTo(TaskPhase.STOPPING);
+  }
+
+  /** Returns the seconds to save a checkpoint in the last stop; 0 before the first. */
+  int stopGraceS() {
+    return stopGraceS;
+  }
+
   /** Changes the phase; no other code does. Ignores steps backward, so a stop is never undone. */
   void transitionTo(TaskPhase next) {
     if (next.compareTo(phase) <= 0) {
--- a/src/main/java/org/sandford/job/TaskReconciler.java
+++ b/src/main/java/org/sandford/job/TaskReconciler.java
@@ -138,7 +138,7 @@
       placement = adopt(publisher, snapshot, job, task);
     }
     updatePhase(placement, snapshot, task);
-    stopIfRequired(placement, snapshot);
+    stopIfRequired(placement, snapshot, task);
     gangs.check(job);
   }
 
@@ -163,11 +163,18 @@
     }
   }
 
-  /** Stops a task of a cancelled job, or one that can save before its machine is interrupted. */
-  private void stopIfRequired(TaskPlacement placement, MachineSnapshot snapshot) {
+  /**
+   * Stops a task of a cancelled job, or one that can save before its machine is interrupted, and
+   * repeats a stop that had no effect so far: it may be lost with the link, or with the machine's
+   * owner.
+   */
+  private void stopIfRequired(
+      TaskPlacement placement, MachineSnapshot snapshot, TaskSnapshot task) {
     Job job = placement.job;
     if (job.phase() == Job.Phase.CANCELLING) {
       commands.stop(placement, 0);
+    } else if (placement.phase() == TaskPhase.STOPPING && task.state != TaskState.CHECKPOINTING) {
+      commands.repeatStop(placement);
     } else if (snapshot.state == MachineState.INTERRUPTION_NOTICED
         && job.spec.checkpointIntervalS() > 0
         && placement.phase() == TaskPhase.RUNNING) {
--- a/src/test/java/org/sandford/scenario/HandoverFaults.java
+++ b/src/test/java/org/sandford/scenario/HandoverFaults.java
@@ -1,11 +1,7 @@
 package org.sandford.scenario;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.io.IOException;
-import java.io.UncheckedIOException;
 import org.sandford.cluster.Cluster;
-import org.sandford.peer.FrameCodec;
-import org.sandford.peer.wire.TeamHandedOver;
 
 /**
  * Injects faults into the handover of a team from a live controller to another. An armed fault
@@ -15,7 +11,6 @@
   private final Simulation simulation;
   private final FakeStore store;
   private final SimulatedControllers controllers;
-  private final FrameCodec codec = new FrameCodec();
   private int count;
 
   HandoverFaults(Simulation simulation, FakeStore store, SimulatedControllers controllers) {
@@ -32,8 +27,7 @@
   /**
    * Arms a fault. {@code write_lost}, {@code write_applied} and {@code write_late SECONDS}: the
    * leader crashes as it writes the team's next owner, and the write is lost, carried out at once,
-   * or carried out later. {@code reply_lost}: the link breaks in place of carrying the owner's
-   * reply to the leader.
+   * or carried out later.
    */
   void arm(ScenarioScript.Step step) {
     switch (step.word(1)) {
@@ -43,7 +37,6 @@
         long delayMs = (long) (step.doubleAt(2) * 1_000);
         interceptWrite(execute -> simulation.after(delayMs, execute));
       }
-      case "reply_lost" -> breakLinkAtReply();
       default -> throw step.syntaxError();
     }
   }
@@ -66,29 +59,9 @@
         };
   }
 
-  private void breakLinkAtReply() {
-    simulation.breaksConnection =
-        frame -> {
-          if (!(decode(frame) instanceof TeamHandedOver)) {
-            return false;
-          }
-          strike();
-          return true;
-        };
-  }
-
   private void strike() {
     count++;
     store.interceptor = (from, transaction, execute) -> false;
-    simulation.breaksConnection = frame -> false;
-  }
-
-  private Object decode(byte[] frame) {
-    try {
-      return codec.decode(frame);
-    } catch (IOException e) {
-      throw new UncheckedIOException(e);
-    }
   }
 
   /** Returns whether the transaction moves a team of a live controller other than its sender. */
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -63,6 +63,9 @@
     steps.register("handover_fault", handoverFaults::arm);
     steps.register("late_request", new LateRequests(store, controllers, hosts)::deliver);
     expectations.register("handover_faults", step -> handoverFaults.count());
+    LostFrames lostFrames = new LostFrames(simulation);
+    steps.register("lose_frame", lostFrames::loseNext);
+    expectations.register("lost_frames", step -> lostFrames.count());
     steps.register("reset_counts", step -> expectations.resetCounts());
     steps.register("expect", expectations::check);
   }
