Draw fault combinations with lost messages and interrupted handovers

Change: a fourth kind of drawn combination has six teams, loses messages of 17 types with their link, and ends leaders as they write the next owner of a handed over team.

--- a/src/test/java/org/sandford/scenario/HandoverFaults.java
+++ b/src/test/java/org/sandford/scenario/HandoverFaults.java
@@ -27,7 +27,7 @@
   /**
    * Arms a fault. {@code write_lost}, {@code write_applied} and {@code write_late SECONDS}: the
    * leader crashes as it writes the team's next owner, and the write is lost, carried out at once,
-   * or carried out later.
+   * or carried out later. {@code none} disarms.
    */
   void arm(ScenarioScript.Step step) {
     switch (step.word(1)) {
@@ -37,6 +37,7 @@
         long delayMs = (long) (step.doubleAt(2) * 1_000);
         interceptWrite(execute -> simulation.after(delayMs, execute));
       }
+      case "none" -> disarm();
       default -> throw step.syntaxError();
     }
   }
@@ -61,6 +62,10 @@
 
   private void strike() {
     count++;
+    disarm();
+  }
+
+  private void disarm() {
     store.interceptor = (from, transaction, execute) -> false;
   }
 
--- a/src/test/java/org/sandford/scenario/LostFrames.java
+++ b/src/test/java/org/sandford/scenario/LostFrames.java
@@ -22,7 +22,7 @@
     return count;
   }
 
-  /** Loses the next message of a type, by the name of its class. */
+  /** Loses the next message of a type, by the name of its class; {@code none} loses no more. */
   void loseNext(ScenarioScript.Step step) {
     String type = step.word(1);
     simulation.breaksConnection =
--- a/src/test/java/org/sandford/scenario/RandomFaultCombinations.java
+++ b/src/test/java/org/sandford/scenario/RandomFaultCombinations.java
@@ -5,6 +5,23 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Random;
+import org.sandford.peer.wire.AcknowledgeExit;
+import org.sandford.peer.wire.CancellationsRequest;
+import org.sandford.peer.wire.CancellationsResponse;
+import org.sandford.peer.wire.ClaimReply;
+import org.sandford.peer.wire.ClaimTeam;
+import org.sandford.peer.wire.DecommissionMachine;
+import org.sandford.peer.wire.DrainMachine;
+import org.sandford.peer.wire.ForwardedRequest;
+import org.sandford.peer.wire.ForwardedResponse;
+import org.sandford.peer.wire.HandOverTeam;
+import org.sandford.peer.wire.MachineDiscovered;
+import org.sandford.peer.wire.Preempt;
+import org.sandford.peer.wire.SnapshotUpdate;
+import org.sandford.peer.wire.StartReply;
+import org.sandford.peer.wire.StartTask;
+import org.sandford.peer.wire.StopTask;
+import org.sandford.peer.wire.TeamHandedOver;
 
 /**
  * Generates the lines of a scenario with a small cluster in which two or three faults overlap at
@@ -34,6 +51,35 @@
   /** Keeps these random numbers independent of those that generate the base scenario. */
   private static final long FREQUENT_POLLS_SALT = 0x9E3779B97F4A7C15L;
 
+  private static final long LOST_MESSAGES_SALT = 0xC2B2AE3D27D4EB4FL;
+
+  /** The messages whose sender or receiver waits for their effect. */
+  private static final List<Class<?>> LOSABLE_MESSAGES =
+      List.of(
+          HandOverTeam.class,
+          TeamHandedOver.class,
+          ClaimTeam.class,
+          ClaimReply.class,
+          StartTask.class,
+          StartReply.class,
+          StopTask.class,
+          AcknowledgeExit.class,
+          Preempt.class,
+          SnapshotUpdate.class,
+          DrainMachine.class,
+          DecommissionMachine.class,
+          MachineDiscovered.class,
+          ForwardedRequest.class,
+          ForwardedResponse.class,
+          CancellationsRequest.class,
+          CancellationsResponse.class);
+
+  private static final List<String> FURTHER_TEAMS = List.of("green", "white", "black", "gray");
+
+  private static final String[] HANDOVER_FAULTS = {
+    "write_lost", "write_applied", "write_late 1.5", "write_late 6"
+  };
+
   private final Random random;
   private final List<double[]> times = new ArrayList<>();
   private final List<String> steps = new ArrayList<>();
@@ -65,6 +111,37 @@
     return sortedByTime(lines);
   }
 
+  /**
+   * Generates the scenario of {@link #generate} with more teams, so that controllers that return
+   * are given some of them. Messages between controllers are lost with their link, and leaders end
+   * as they write the next owner of a handed over team.
+   */
+  static List<String> generateWithLostMessages(long seed) {
+    Random ownRandom = new Random(seed * LOST_MESSAGES_SALT);
+    List<String> lines = new ArrayList<>(generate(seed));
+    for (String team : FURTHER_TEAMS) {
+      lines.add("team " + team + " 2 8");
+      String job = " team=" + team + " tasks=2 run_s=" + (5 + ownRandom.nextInt(30));
+      for (int number = 0; number < 2; number++) {
+        String id = "wk-" + (400 + 10 * FURTHER_TEAMS.indexOf(team) + number);
+        lines.add(formatStep(5 + ownRandom.nextDouble() * 160, "submit " + id + job));
+      }
+    }
+    for (double at = 4; at < FAULTS_UNTIL_S; at += 2 + ownRandom.nextInt(10)) {
+      Class<?> message = LOSABLE_MESSAGES.get(ownRandom.nextInt(LOSABLE_MESSAGES.size()));
+      lines.add(formatStep(at, "lose_frame " + message.getSimpleName()));
+    }
+    for (int fault = 0; fault < 3; fault++) {
+      double at = 4 + ownRandom.nextDouble() * (FAULTS_UNTIL_S - 10);
+      String kind = HANDOVER_FAULTS[ownRandom.nextInt(HANDOVER_FAULTS.length)];
+      lines.add(formatStep(at, "handover_fault " + kind));
+      lines.add(formatStep(at + 5, "start all"));
+    }
+    lines.add(formatStep(FAULTS_UNTIL_S, "lose_frame none"));
+    lines.add(formatStep(FAULTS_UNTIL_S, "handover_fault none"));
+    return sortedByTime(lines);
+  }
+
   /**
    * Generates a scenario in which teams at their limit change owners while their jobs are cancelled
    * and machines hang, receive nothing or reach no controller for less than their lease. The
--- a/src/test/java/org/sandford/scenario/RandomFaultCombinationsTest.java
+++ b/src/test/java/org/sandford/scenario/RandomFaultCombinationsTest.java
@@ -15,7 +15,8 @@
  * Plays random combinations of faults, generated from the seeds below, under the same rules as the
  * scenarios. To play other seeds: {@code mvn test -Dtest=RandomFaultCombinationsTest
  * -Dsandford.seeds=1000-1999}; {@code -Dsandford.close-looks-seeds} sets those with frequent polls,
- * {@code -Dsandford.limit-seeds} those with teams at their limit.
+ * {@code -Dsandford.limit-seeds} those with teams at their limit, {@code
+ * -Dsandford.lost-message-seeds} those in which messages between controllers are lost.
  */
 class RandomFaultCombinationsTest {
   private static final String SEEDS = System.getProperty("sandford.seeds", "1-40");
@@ -25,6 +26,9 @@
 
   private static final String LIMIT_SEEDS = System.getProperty("sandford.limit-seeds", "1-40");
 
+  private static final String LOST_MESSAGE_SEEDS =
+      System.getProperty("sandford.lost-message-seeds", "1-20");
+
   @TestFactory
   Stream<DynamicTest> combinations() {
     return tests("seed ", SEEDS, RandomFaultCombinations::generate);
@@ -43,6 +47,14 @@
     return tests("at the limit, seed ", LIMIT_SEEDS, RandomFaultCombinations::generateAtTeamLimit);
   }
 
+  @TestFactory
+  Stream<DynamicTest> combinationsWithLostMessages() {
+    return tests(
+        "lost messages, seed ",
+        LOST_MESSAGE_SEEDS,
+        RandomFaultCombinations::generateWithLostMessages);
+  }
+
   private static Stream<DynamicTest> tests(
       String name, String range, LongFunction<List<String>> generator) {
     return seeds(range)
