Warm up for the class-data archive on the event loop

Cause: ArchiveWarmUp called NettyHttpClient.send on the main thread while its controller used the same client on the event loop; both changed the queue of waiting connections.

Change: the request is sent on the loop. EventLoop.isCurrentThread is asserted where classes of the loop are entered: the HTTP client, the peer transport and links, the queues of the store and the cloud, the start of a controller. Daemon is the only other caller from another thread and uses only constructors and the blocking listen.

--- a/src/main/java/org/sandford/cli/ArchiveWarmUp.java
+++ b/src/main/java/org/sandford/cli/ArchiveWarmUp.java
@@ -115,13 +115,15 @@
     server.listen(settings.listen().host(), settings.listen().port());
     loop.execute(controller::start);
     CountDownLatch finished = new CountDownLatch(1);
-    http.send(
-        settings.listen().toString(),
-        "POST",
-        "/work",
-        new byte[] {'{', '}'},
-        1_000,
-        reply -> loop.after(1_500, finished::countDown));
+    loop.execute(
+        () ->
+            http.send(
+                settings.listen().toString(),
+                "POST",
+                "/work",
+                new byte[] {'{', '}'},
+                1_000,
+                reply -> loop.after(1_500, finished::countDown)));
     finished.await(10, TimeUnit.SECONDS);
     loop.shutdown();
   }
--- a/src/main/java/org/sandford/cloud/CloudClient.java
+++ b/src/main/java/org/sandford/cloud/CloudClient.java
@@ -68,6 +68,7 @@
   }
 
   private void enqueue(Runnable send) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     queue.addLast(send);
     sendQueued();
   }
--- a/src/main/java/org/sandford/controller/Controller.java
+++ b/src/main/java/org/sandford/controller/Controller.java
@@ -179,6 +179,7 @@
 
   /** Joins the cluster and starts serving. Must be called once, on the event loop. */
   public void start() {
+    assert loop.isCurrentThread() : "called outside the event loop";
     log.info("controller starting label={} zone={}", settings.label(), settings.zone());
     cluster.start(this);
     versions.start();
--- a/src/main/java/org/sandford/net/NettyHttpClient.java
+++ b/src/main/java/org/sandford/net/NettyHttpClient.java
@@ -83,6 +83,7 @@
       byte[] body,
       long timeoutMs,
       Consumer<Reply> onReply) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     byte[] content = body == null ? new byte[0] : body;
     FullHttpRequest request =
         new DefaultFullHttpRequest(
--- a/src/main/java/org/sandford/net/NettyLoop.java
+++ b/src/main/java/org/sandford/net/NettyLoop.java
@@ -52,6 +52,11 @@
     loop.execute(loggingExceptions(task));
   }
 
+  @Override
+  public boolean isCurrentThread() {
+    return loop.inEventLoop();
+  }
+
   /** Stops the thread within a second; called when the process ends. */
   @SuppressWarnings("FutureReturnValueIgnored") // The process ends; nobody waits for its threads.
   public void shutdown() {
--- a/src/main/java/org/sandford/net/NettyPeers.java
+++ b/src/main/java/org/sandford/net/NettyPeers.java
@@ -41,6 +41,7 @@
 
   @Override
   public void dial(String address, Handler handler) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     HostAndPort target = HostAndPort.fromString(address);
     new Bootstrap()
         .group(loop.group())
@@ -59,6 +60,7 @@
 
   @Override
   public void listen(Supplier<Handler> handlerFactory) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     new ServerBootstrap()
         .group(loop.group())
         .channel(NioServerSocketChannel.class)
--- a/src/main/java/org/sandford/peer/PeerLinks.java
+++ b/src/main/java/org/sandford/peer/PeerLinks.java
@@ -136,6 +136,7 @@
 
   /** Sends a request, which may still be lost; returns false if no link to the receiver is live. */
   public boolean request(String label, Object request) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     if (isSelf(label)) {
       loop.execute(
           () ->
@@ -163,6 +164,7 @@
 
   /** Sends a message to every controller that has a link to this one, and to this one. */
   public void publish(Object message) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     if (!inbound.isEmpty()) {
       byte[] frame = codec.encode(message);
       inbound.values().forEach(link -> link.connection.send(frame));
--- a/src/main/java/org/sandford/runtime/EventLoop.java
+++ b/src/main/java/org/sandford/runtime/EventLoop.java
@@ -26,6 +26,9 @@
   /** Runs the task on this loop after all tasks that are already queued. */
   void execute(Runnable task);
 
+  /** Returns whether the caller runs on this loop; assertions check it. */
+  boolean isCurrentThread();
+
   /** Returns the reading of the monotonic clock, in milliseconds. */
   default long millis() {
     return nanos() / 1_000_000;
--- a/src/main/java/org/sandford/store/StoreRequestQueue.java
+++ b/src/main/java/org/sandford/store/StoreRequestQueue.java
@@ -82,6 +82,7 @@
 
   /** Queues the request; {@code onReply} runs exactly once, on the event loop. */
   void send(Request request, Consumer<Reply> onReply) {
+    assert loop.isCurrentThread() : "called outside the event loop";
     send(request, onReply, StoreConstants.STORE_MAX_ATTEMPTS);
   }
 
--- a/src/test/java/org/sandford/runtime/EventLoopTest.java
+++ b/src/test/java/org/sandford/runtime/EventLoopTest.java
@@ -10,6 +10,11 @@
   private static final class Queue implements EventLoop {
     private final ArrayDeque<Runnable> queuedTasks = new ArrayDeque<>();
 
+    @Override
+    public boolean isCurrentThread() {
+      return true;
+    }
+
     @Override
     public long nanos() {
       return 0;
--- a/src/test/java/org/sandford/runtime/ManualEventLoop.java
+++ b/src/test/java/org/sandford/runtime/ManualEventLoop.java
@@ -27,6 +27,11 @@
     task.run();
   }
 
+  @Override
+  public boolean isCurrentThread() {
+    return true;
+  }
+
   /** Advances the clock by {@code seconds}. */
   public void advanceSeconds(double seconds) {
     nanos += (long) (seconds * 1e9);
--- a/src/test/java/org/sandford/runtime/TokenBucketTest.java
+++ b/src/test/java/org/sandford/runtime/TokenBucketTest.java
@@ -10,6 +10,11 @@
   private static final class Clock implements EventLoop {
     private long millis;
 
+    @Override
+    public boolean isCurrentThread() {
+      return true;
+    }
+
     @Override
     public long nanos() {
       return millis * 1_000_000;
--- a/src/test/java/org/sandford/scenario/Simulation.java
+++ b/src/test/java/org/sandford/scenario/Simulation.java
@@ -239,6 +239,11 @@
       return () -> cancelled[0] = true;
     }
 
+    @Override
+    public boolean isCurrentThread() {
+      return true;
+    }
+
     @Override
     public void execute(Runnable action) {
       Simulation.this.at(now, () -> whenAwake(action));
