A machine that was taken back while it booted leaves the map

Cause: a rented machine is in the map without an address until it is up, and counts as coming up. It left the map only when the list showed it as failed or booting for too long, or when its worker was lost. One that was taken while it booted is in no list and has no worker, so it stayed.

Change: UnlistedMachines finds machines without an address that a list lacks although it was requested more than twice list_lag_s, the greatest lag that PROTOCOL allows, after the leader first knew them; they must be listed if they exist. The cloud is asked to decommission them, and its 200 confirms, as for every removal, that they are gone. A machine with an address, written or about to be, never leaves the map because a list lacks it. The form of the stored map is unchanged.

--- a/src/main/java/org/sandford/cluster/Cluster.java
+++ b/src/main/java/org/sandford/cluster/Cluster.java
@@ -237,6 +237,13 @@
     return pending.additionsNotInMap();
   }
 
+  /**
+   * Returns whether an address of the machine is known that the assignment map does not hold yet.
+   */
+  public boolean hasPendingAddress(String machine) {
+    return pending.hasPendingAddress(machine);
+  }
+
   /** Moves a machine to the shard of another member. */
   public void moveMachine(String name, String newOwner) {
     pending.moveMachine(name, newOwner);
--- a/src/main/java/org/sandford/cluster/PendingChanges.java
+++ b/src/main/java/org/sandford/cluster/PendingChanges.java
@@ -121,6 +121,12 @@
     return new MachineAssignmentPlanner.Changes(List.of(), urgentRemovals, Map.of());
   }
 
+  /** Returns whether an address of the machine is known that the map does not hold yet. */
+  boolean hasPendingAddress(String name) {
+    NewMachine addition = additions.get(name);
+    return addition != null && addition.hasAddress();
+  }
+
   /** Returns the machines to add that the map does not hold, in the order of the requests. */
   Collection<NewMachine> additionsNotInMap() {
     return additions.values().stream()
--- a/src/main/java/org/sandford/constants/ScalingConstants.java
+++ b/src/main/java/org/sandford/constants/ScalingConstants.java
@@ -10,6 +10,9 @@
   /** Milliseconds between two reads of the machine list. */
   public static final int MACHINE_LIST_POLL_MS = 4_000;
 
+  /** Multiple of the nominal lag by which the machine list may lag at most. */
+  public static final double MACHINE_LIST_MAX_LAG_FACTOR = 2.0;
+
   /** Milliseconds between two reads of instance types and prices. */
   public static final int INSTANCE_TYPES_POLL_MS = 30_000;
 
--- a/src/main/java/org/sandford/scaling/Autoscaler.java
+++ b/src/main/java/org/sandford/scaling/Autoscaler.java
@@ -52,7 +52,9 @@
     UnreachableZones zones = new UnreachableZones();
     catalog = new InstanceCatalog(loop, cloud);
     clusterDemand = new ClusterDemand(loop, ownDemand);
-    inventory = new InstanceInventory(loop, cluster, cloud, machineSnapshots, catalog);
+    inventory =
+        new InstanceInventory(
+            loop, settings.facts().listLagS(), cluster, cloud, machineSnapshots, catalog);
     replacement = new MachineReplacement(cluster, links, machineSnapshots, inventory, zones);
     requests = new ProvisionRequests(loop, cluster, cloud);
     scaleOut =
--- a/src/main/java/org/sandford/scaling/InstanceCatalog.java
+++ b/src/main/java/org/sandford/scaling/InstanceCatalog.java
@@ -64,6 +64,18 @@
     return instanceTypes;
   }
 
+  /**
+   * Returns the seconds after its rental at which a machine that is not up counts as never coming
+   * up; infinite while the instance type is not known.
+   */
+  double bootTimeoutS(String name) {
+    InstanceType instanceType = get(name);
+    return instanceType == null
+        ? Double.POSITIVE_INFINITY
+        : instanceType.bootS() * ScalingConstants.BOOT_TIMEOUT_FACTOR
+            + ScalingConstants.BOOT_TIMEOUT_EXTRA_S;
+  }
+
   /** Returns an empty machine of a known instance type as a placement candidate. */
   CandidateMachine candidate(String machine, String instanceType, String zone, boolean spot) {
     return new InstancePool(instanceType, zone, spot).candidate(machine, get(instanceType));
--- a/src/main/java/org/sandford/scaling/InstanceInventory.java
+++ b/src/main/java/org/sandford/scaling/InstanceInventory.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import org.sandford.cloud.CloudClient;
 import org.sandford.cloud.CloudClient.ListedInstance;
-import org.sandford.cloud.InstanceType;
 import org.sandford.cluster.AssignmentMap.MachineAssignment;
 import org.sandford.cluster.Cluster;
 import org.sandford.constants.ScalingConstants;
@@ -33,6 +32,7 @@
   private final CloudClient cloud;
   private final MachineSnapshots machineSnapshots;
   private final InstanceCatalog catalog;
+  private final UnlistedMachines unlistedMachines;
 
   /** When each machine was removed; a stale list may still show it. */
   private final Map<String, Long> removedAt = new HashMap<>();
@@ -42,8 +42,14 @@
   private OptionalLong listedAt = OptionalLong.empty();
   private boolean cloudAvailable;
 
+  /**
+   * Creates an inventory that has read no list.
+   *
+   * @param listLagS the nominal lag of the cloud's list in seconds, or 0 if it is not known
+   */
   InstanceInventory(
       EventLoop loop,
+      double listLagS,
       Cluster cluster,
       CloudClient cloud,
       MachineSnapshots machineSnapshots,
@@ -53,6 +59,7 @@
     this.cloud = cloud;
     this.machineSnapshots = machineSnapshots;
     this.catalog = catalog;
+    this.unlistedMachines = new UnlistedMachines(cluster, catalog, listLagS);
   }
 
   /** Whether the last list or decommissioning request succeeded. */
@@ -81,6 +88,8 @@
 
   private void listInstances() {
     listing = true;
+    long requestedAt = loop.millis();
+    unlistedMachines.listRequested(requestedAt);
     cloud.list(
         instances -> {
           listing = false;
@@ -88,6 +97,7 @@
           listedAt = OptionalLong.of(loop.millis());
           if (instances != null && cluster.isLeader()) {
             instances.forEach(this::reconcile);
+            decommissionTerminated(instances, requestedAt);
           }
         });
   }
@@ -119,11 +129,22 @@
   }
 
   private boolean hasBootTimedOut(ListedInstance instance) {
-    InstanceType instanceType = catalog.get(instance.instanceType());
-    return instanceType != null
-        && instance.ageS()
-            > instanceType.bootS() * ScalingConstants.BOOT_TIMEOUT_FACTOR
-                + ScalingConstants.BOOT_TIMEOUT_EXTRA_S;
+    return instance.ageS() > catalog.bootTimeoutS(instance.instanceType());
+  }
+
+  /**
+   * Decommissions machines that no longer exist, which costs nothing: the cloud's answer confirms
+   * that they are gone, as for every other removal.
+   */
+  private void decommissionTerminated(List<ListedInstance> instances, long requestedAt) {
+    List<String> terminated =
+        unlistedMachines.findTerminated(instances, requestedAt).stream()
+            .filter(machine -> !removedAt.containsKey(machine) && !isDecommissioning(machine))
+            .toList();
+    if (!terminated.isEmpty()) {
+      log.info("machines gone before they came up machines={}", terminated);
+      decommission(terminated);
+    }
   }
 
   /**
--- a/src/test/java/org/sandford/scenario/FakeCloud.java
+++ b/src/test/java/org/sandford/scenario/FakeCloud.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import org.sandford.runtime.Json;
 
-/** Simulates the cloud: one machine type, a pool in each zone, a listing that lags by 5 s. */
+/** Simulates the cloud: one machine type, a pool in each zone, a listing that lags. */
 final class FakeCloud implements FakeServer {
   static final class RentedMachine {
     final String name;
@@ -34,6 +34,12 @@
   boolean outage;
   boolean bootsDisabled;
 
+  /** The seconds from a rental until the machine is up. */
+  double bootS = 10;
+
+  /** The seconds by which the list lags: younger machines are missing from it. */
+  double listLagS = 5;
+
   FakeCloud(Simulation simulation, Scenario scenario) {
     this.simulation = simulation;
     this.scenario = scenario;
@@ -105,7 +111,7 @@
             i < request.path("number").asInt() && usedOfPool + i < scenario.script.poolSize;
             i++) {
           hosts.add(
-              rent(request.path("site").asText(), request.path("reclaimable").asBoolean(), 10)
+              rent(request.path("site").asText(), request.path("reclaimable").asBoolean(), bootS)
                   .name);
         }
         if (hosts.isEmpty()) {
@@ -124,7 +130,7 @@
       ObjectNode answer = Json.object().put("more", false);
       ArrayNode hosts = answer.putArray("hosts");
       for (RentedMachine machine : machines.values()) {
-        if (simulation.now() - machine.rentedAt > 5_000 * Simulation.MS) {
+        if (simulation.now() - machine.rentedAt > listLagS * 1e9) {
           ObjectNode host =
               hosts.addObject().put("name_id", machine.name).put("addr", machine.name + ":90");
           host.put("machine_kind", "m8").put("site", machine.zone).put("reclaimable", machine.spot);
--- a/src/test/java/org/sandford/scenario/ScenarioHosts.java
+++ b/src/test/java/org/sandford/scenario/ScenarioHosts.java
@@ -117,6 +117,11 @@
         .toList();
   }
 
+  /** Returns the machines that are rented and not up. */
+  List<String> bootingMachines() {
+    return cloud.machines.values().stream().filter(m -> m.worker == null).map(m -> m.name).toList();
+  }
+
   List<String> controllers(String label) {
     return label.equals("all") ? controllers.labels() : List.of(controller(label));
   }
--- a/src/test/java/org/sandford/scenario/ScenarioSteps.java
+++ b/src/test/java/org/sandford/scenario/ScenarioSteps.java
@@ -119,6 +119,8 @@
     register("throttle", step -> store.throttledHosts.add(step.word(1)));
     register("unthrottle", step -> store.throttledHosts.remove(step.word(1)));
     register("outage", this::outage);
+    register("boot_s", step -> cloud.bootS = step.doubleAt(1));
+    register("list_lag", step -> cloud.listLagS = step.doubleAt(1));
     register("boots", step -> cloud.bootsDisabled = step.word(1).equals("never"));
   }
 
@@ -139,6 +141,7 @@
         "interruption_notice",
         step -> hosts.worker(step.word(1)).noticeInterruption(step.doubleAt(2)));
     register("reclaim", step -> cloud.removeMachine(hosts.host(step.word(1))));
+    register("reclaim_booting", step -> hosts.bootingMachines().forEach(cloud::removeMachine));
   }
 
   private String controllerOrAny(ScenarioScript.Step step, int index) {
