--- a/src/main/java/org/sandford/job/AssignedMachines.java
+++ b/src/main/java/org/sandford/job/AssignedMachines.java
@@ -1,5 +1,7 @@
 package org.sandford.job;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.sandford.cluster.AssignmentMap.MachineAssignment;
 import org.sandford.cluster.Cluster;
@@ -28,17 +30,22 @@
     this.ledger = ledger;
   }
 
-  /** Applies the changes of the map since the last call. */
-  void applyAssignments() {
+  /** Applies the changes of the map since the last call; returns the machines that entered it. */
+  List<String> applyAssignments() {
     Map<String, MachineAssignment> current = cluster.machines().assignments();
     if (current == appliedMap) {
-      return;
+      return List.of();
     }
     Map<String, MachineAssignment> previous = appliedMap;
     appliedMap = current;
+    List<String> added = new ArrayList<>();
     current.forEach(
         (name, assignment) -> {
-          if (!assignment.equals(previous.get(name))) {
+          MachineAssignment before = previous.get(name);
+          if (before == null) {
+            added.add(name);
+          }
+          if (!assignment.equals(before)) {
             candidates.invalidate(name);
           }
         });
@@ -47,6 +54,7 @@
         handleRemoval(name);
       }
     }
+    return added;
   }
 
   /** Handles a machine that was decommissioned, and whose tasks are gone. */
--- a/src/main/java/org/sandford/job/JobScheduler.java
+++ b/src/main/java/org/sandford/job/JobScheduler.java
@@ -186,14 +186,27 @@
     List<Team> acquired = ownership.applyAssignments();
     if (!acquired.isEmpty()) {
       // Tasks of these teams were ignored in earlier snapshots.
-      machineSnapshots.all().forEach(received -> untrackedTasks.update(received.snapshot()));
+      machineSnapshots.assigned().forEach(received -> untrackedTasks.update(received.snapshot()));
       openJobLoader.load(acquired, this::openJobsLoaded);
     }
-    assignedMachines.applyAssignments();
+    assignedMachines.applyAssignments().forEach(this::applyEarlySnapshot);
     recovery.checkAllMachines();
     timer.requestRound();
   }
 
+  /** Applies the snapshot of a machine that was received before the machine entered the map. */
+  private void applyEarlySnapshot(String machine) {
+    MachineSnapshots.ReceivedSnapshot received = machineSnapshots.get(machine);
+    if (received != null) {
+      applySnapshot(received.owner(), received.snapshot());
+    }
+  }
+
+  private void applySnapshot(String publisher, MachineSnapshot snapshot) {
+    reconciler.reconcile(publisher, snapshot);
+    untrackedTasks.update(snapshot);
+  }
+
   private void openJobsLoaded(Set<String> adoptedJobs) {
     adoptTasks(adoptedJobs);
     for (Team team : owned.teams().values()) {
@@ -205,7 +218,7 @@
   }
 
   private void adoptTasks(Set<String> jobIds) {
-    reconciler.adoptTasks(List.copyOf(machineSnapshots.all()), jobIds);
+    reconciler.adoptTasks(machineSnapshots.assigned(), jobIds);
   }
 
   /**
@@ -238,9 +251,8 @@
   public void snapshotsReceived(String publisher, SnapshotUpdate update) {
     for (MachineSnapshot snapshot : update.machines) {
       candidates.invalidate(snapshot.machine);
-      if (isStored(snapshot)) {
-        reconciler.reconcile(publisher, snapshot);
-        untrackedTasks.update(snapshot);
+      if (isStored(snapshot) && machineSnapshots.isAssigned(snapshot.machine)) {
+        applySnapshot(publisher, snapshot);
       }
     }
     update.removed.forEach(candidates::invalidate);
--- a/src/main/java/org/sandford/job/TaskReconciler.java
+++ b/src/main/java/org/sandford/job/TaskReconciler.java
@@ -46,9 +46,12 @@
     this.exits = exits;
   }
 
-  /** Reconciles all tasks of the snapshot and all placements that are missing from it. */
+  /**
+   * Reconciles all tasks of the snapshot and all placements that are missing from it. The machine
+   * must be in the assignment map.
+   */
   void reconcile(String publisher, MachineSnapshot snapshot) {
-    if (!isAuthoritative(snapshot)) {
+    if (!snapshot.reconciled) {
       return;
     }
     Set<AttemptId> reported = new HashSet<>();
@@ -72,13 +75,14 @@
    * skipped: a start that was accepted after a stored snapshot appears only in the next one, and
    * its task must not be released as lost.
    *
-   * @param storedSnapshots all stored snapshots; not modified during the call
+   * @param storedSnapshots the stored snapshots of all machines in the assignment map; not modified
+   *     during the call
    * @param jobIds ids of the jobs that became known
    */
   void adoptTasks(Collection<ReceivedSnapshot> storedSnapshots, Set<String> jobIds) {
     for (ReceivedSnapshot receivedSnapshot : storedSnapshots) {
       MachineSnapshot snapshot = receivedSnapshot.snapshot();
-      if (isAuthoritative(snapshot)) {
+      if (snapshot.reconciled) {
         snapshot.tasks.stream()
             .filter(task -> jobIds.contains(task.job) && owned.contains(task.job))
             .forEach(
@@ -88,15 +92,6 @@
     }
   }
 
-  /**
-   * Returns whether the snapshot lists all tasks of a machine in the assignment map. A snapshot
-   * that arrives after its machine left the map lists tasks that are gone. Their placements would
-   * never be released, since the machine is not reported again.
-   */
-  private boolean isAuthoritative(MachineSnapshot snapshot) {
-    return snapshot.reconciled && cluster.machines().assignments().containsKey(snapshot.machine);
-  }
-
   /**
    * Releases a placement that its machine's snapshot lacks. An unanswered start is kept until the
    * answer comes, unless a newer owner reconciled the machine.
--- a/src/main/java/org/sandford/machine/MachineSnapshots.java
+++ b/src/main/java/org/sandford/machine/MachineSnapshots.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.sandford.cluster.AssignmentMap.MachineAssignment;
 import org.sandford.cluster.Cluster;
@@ -53,7 +54,9 @@
   }
 
   /**
-   * Applies an update. Drops snapshots of an older generation than the known one.
+   * Applies an update. Drops snapshots of an older generation than the known one, and those of
+   * machines that left the assignment map: a sender that has not read the newest map still
+   * publishes them, and their tasks are gone.
    *
    * @param from label of the controller that published it
    */
@@ -67,7 +70,7 @@
     }
     for (MachineSnapshot snapshot : update.machines) {
       receivedCount++;
-      if (!isOutdated(snapshot)) {
+      if (!isOutdated(snapshot) && !hasLeftMap(snapshot)) {
         received.put(snapshot.machine, new ReceivedSnapshot(from, snapshot, loop.nanos()));
       }
     }
@@ -78,9 +81,27 @@
     return known != null && known.snapshot.generation > snapshot.generation;
   }
 
-  /** Removes machines that are not in the new assignment map. */
+  /**
+   * Returns whether the snapshot's machine left the assignment map that is known here. Generations
+   * only rise, so a machine that is not in the map and whose generation the map has passed was in
+   * an earlier one; one of a later generation is in a map that is not known here yet.
+   */
+  private boolean hasLeftMap(MachineSnapshot snapshot) {
+    return !isAssigned(snapshot.machine)
+        && snapshot.generation <= cluster.machines().lastGeneration();
+  }
+
+  /**
+   * Returns whether the machine is in the assignment map that is known here. Only snapshots of such
+   * machines may be used; others wait for the map.
+   */
+  public boolean isAssigned(String machine) {
+    return cluster.machines().assignments().containsKey(machine);
+  }
+
+  /** Removes machines that are in an earlier assignment map and not in the new one. */
   public void removeUnassigned() {
-    received.keySet().removeIf(name -> !cluster.machines().assignments().containsKey(name));
+    received.values().removeIf(known -> hasLeftMap(known.snapshot));
   }
 
   /** Returns a live view of all snapshots, in the order in which their machines became known. */
@@ -89,6 +110,11 @@
     return received.values();
   }
 
+  /** Returns a copy of the snapshots of the machines in the assignment map. */
+  public List<ReceivedSnapshot> assigned() {
+    return all().stream().filter(known -> isAssigned(known.snapshot.machine)).toList();
+  }
+
   /** Returns the machine's snapshot, or null if there is none. */
   public ReceivedSnapshot get(String machine) {
     readCount++;
--- a/src/test/java/org/sandford/scenario/ScenarioSteps.java
+++ b/src/test/java/org/sandford/scenario/ScenarioSteps.java
@@ -72,7 +72,8 @@
             hosts.controllers(step.word(1)).stream()
                 .filter(label -> !controllers.isRunning(label))
                 .forEach(controllers::start));
-    register("freeze", step -> controllers.freeze(step.word(1), step.doubleAt(2)));
+    register(
+        "freeze", step -> controllers.freeze(hosts.controller(step.word(1)), step.doubleAt(2)));
     register("upgrade", step -> controllers.upgrade());
   }
 
