A replaced leader sends no more requests to change machines

Cause: CloudClient queues requests for the cloud's rate and ProvisionRequests repeats those without an answer for 60 s; whether this controller leads was checked when a request was made, not when it was sent.

Change: CloudClient checks it when a request to provision or to decommission is due; one that may not be sent counts as not executed. Reads stay as they were. The request and the reading of its response are two methods now.

--- a/src/main/java/org/sandford/cloud/CloudClient.java
+++ b/src/main/java/org/sandford/cloud/CloudClient.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.sandford.constants.ScalingConstants;
 import org.sandford.runtime.EventLoop;
@@ -18,7 +19,9 @@
 
 /**
  * Client of the cloud's HTTP interface. Sends requests in order and within the cloud's rate limit,
- * without retries. Runs on the event loop, where results are also delivered.
+ * without retries. A request that changes machines may wait for that rate, so whether this
+ * controller may still make it is checked when it is sent. Runs on the event loop, where results
+ * are also delivered.
  */
 public final class CloudClient {
   /**
@@ -52,6 +55,7 @@
   private final HttpTransport http;
   private final String address;
   private final TokenBucket rate;
+  private final BooleanSupplier mayChangeMachines;
   private final ArrayDeque<Runnable> queue = new ArrayDeque<>();
   private boolean sendScheduled;
 
@@ -59,8 +63,15 @@
    * Creates a client; nothing is sent yet.
    *
    * @param requestsPerSecond the cloud's limit on requests, of which a share is used
+   * @param mayChangeMachines whether this controller may provision and decommission machines now
    */
-  public CloudClient(EventLoop loop, HttpTransport http, String address, double requestsPerSecond) {
+  public CloudClient(
+      EventLoop loop,
+      HttpTransport http,
+      String address,
+      double requestsPerSecond,
+      BooleanSupplier mayChangeMachines) {
+    this.mayChangeMachines = mayChangeMachines;
     this.loop = loop;
     this.http = http;
     this.address = address;
@@ -73,6 +84,18 @@
     sendQueued();
   }
 
+  /** Queues a request that changes machines; {@code refuse} runs if it may not be sent any more. */
+  private void enqueueChange(Runnable send, Runnable refuse) {
+    enqueue(
+        () -> {
+          if (mayChangeMachines.getAsBoolean()) {
+            send.run();
+          } else {
+            refuse.run();
+          }
+        });
+  }
+
   private void sendQueued() {
     while (!queue.isEmpty() && rate.allows(1)) {
       rate.take(1);
@@ -115,7 +138,8 @@
    * @param requestId identifies the request; a repeated request provisions nothing more and returns
    *     the outcome of its first execution
    * @param onResult receives the outcome and the names of the machines, which are empty unless the
-   *     outcome is {@link ProvisionOutcome#PROVISIONED}
+   *     outcome is {@link ProvisionOutcome#PROVISIONED}; not executed if this controller may not
+   *     change machines any more when the request is due
    */
   public void provision(
       String requestId,
@@ -131,7 +155,7 @@
             .put("site", zone)
             .put("reclaimable", spot)
             .put("number", machineCount);
-    enqueue(
+    enqueueChange(
         () ->
             http.send(
                 address,
@@ -139,31 +163,37 @@
                 "/machines",
                 Json.bytes(request),
                 ScalingConstants.CLOUD_CALL_TIMEOUT_MS,
-                reply -> {
-                  JsonNode body = Json.read(reply.body());
-                  List<String> machines = new ArrayList<>();
-                  body.path("hosts").forEach(host -> machines.add(host.asText()));
-                  ProvisionOutcome outcome =
-                      switch (reply.status()) {
-                        case 200 -> ProvisionOutcome.PROVISIONED;
-                        case 503 ->
-                            body.path("error").asText().equals("no capacity")
-                                ? ProvisionOutcome.NO_CAPACITY
-                                : ProvisionOutcome.NOT_EXECUTED;
-                        case 400, 429, HttpTransport.Reply.NOT_SENT ->
-                            ProvisionOutcome.NOT_EXECUTED;
-                        default -> ProvisionOutcome.UNKNOWN;
-                      };
-                  onResult.accept(outcome, machines);
-                }));
+                reply -> onResult.accept(outcomeOf(reply), machinesOf(reply))),
+        () -> onResult.accept(ProvisionOutcome.NOT_EXECUTED, List.of()));
   }
 
-  /** Decommissions machines; the result is true only if the cloud confirms that they are gone. */
+  private static ProvisionOutcome outcomeOf(HttpTransport.Reply reply) {
+    return switch (reply.status()) {
+      case 200 -> ProvisionOutcome.PROVISIONED;
+      case 503 ->
+          Json.read(reply.body()).path("error").asText().equals("no capacity")
+              ? ProvisionOutcome.NO_CAPACITY
+              : ProvisionOutcome.NOT_EXECUTED;
+      case 400, 429, HttpTransport.Reply.NOT_SENT -> ProvisionOutcome.NOT_EXECUTED;
+      default -> ProvisionOutcome.UNKNOWN;
+    };
+  }
+
+  private static List<String> machinesOf(HttpTransport.Reply reply) {
+    List<String> machines = new ArrayList<>();
+    Json.read(reply.body()).path("hosts").forEach(host -> machines.add(host.asText()));
+    return machines;
+  }
+
+  /**
+   * Decommissions machines; the result is true only if the cloud confirms that they are gone. It is
+   * false if this controller may not change machines any more when the request is due.
+   */
   public void decommission(List<String> machines, Consumer<Boolean> onResult) {
     ObjectNode request = Json.object();
     ArrayNode hosts = request.putArray("hosts");
     machines.forEach(hosts::add);
-    enqueue(
+    enqueueChange(
         () ->
             http.send(
                 address,
@@ -171,7 +201,8 @@
                 "/machines/return",
                 Json.bytes(request),
                 ScalingConstants.CLOUD_CALL_TIMEOUT_MS,
-                reply -> onResult.accept(reply.ok())));
+                reply -> onResult.accept(reply.ok())),
+        () -> onResult.accept(false));
   }
 
   /** Reads the whole machine list, page by page; the result is null if a page could not be read. */
--- a/src/main/java/org/sandford/controller/Controller.java
+++ b/src/main/java/org/sandford/controller/Controller.java
@@ -98,11 +98,13 @@
     StoreClient storeClient =
         new StoreClient(
             loop, http, settings.store().toString(), facts.storeRps(), facts.storeWriteRps());
-    CloudClient cloud = new CloudClient(loop, http, settings.cloud().toString(), facts.cloudRps());
     terminalStates = new TerminalStates(loop);
     OpenJobReader openJobReader = new OpenJobReader(loop, storeClient, audit);
     JobReader jobReader = new JobReader(storeClient, terminalStates, audit);
     cluster = new Cluster(loop, settings, storeClient, audit);
+    CloudClient cloud =
+        new CloudClient(
+            loop, http, settings.cloud().toString(), facts.cloudRps(), cluster::isLeader);
     links = new PeerLinks(loop, settings, peers, cluster::incarnationNumber);
     cancellations =
         new Cancellations(loop, settings, new CancellationPeers(), cluster, cluster::incarnationId);
--- a/src/test/java/org/sandford/scenario/FakeCloud.java
+++ b/src/test/java/org/sandford/scenario/FakeCloud.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import org.sandford.runtime.Json;
 
 /** Simulates the cloud: one machine type, a pool in each zone, a listing that lags. */
@@ -40,6 +41,14 @@
   /** The seconds by which the list lags: younger machines are missing from it. */
   double listLagS = 5;
 
+  /** Returns whether the controller of a label leads, as stored. */
+  Predicate<String> isLeader = label -> true;
+
+  /**
+   * The number of requests to provision or decommission machines by controllers that don't lead.
+   */
+  int changesByFormerLeaders;
+
   FakeCloud(Simulation simulation, Scenario scenario) {
     this.simulation = simulation;
     this.scenario = scenario;
@@ -79,6 +88,9 @@
       respond.accept(new Response(503, Json.object().put("error", "trouble")));
       return;
     }
+    if (method.equals("POST") && !isLeader.test(from)) {
+      changesByFormerLeaders++;
+    }
     JsonNode request = Json.read(body);
     if (path.equals("/flavors")) {
       ObjectNode answer = Json.object();
--- a/src/test/java/org/sandford/scenario/Scenario.java
+++ b/src/test/java/org/sandford/scenario/Scenario.java
@@ -57,6 +57,7 @@
     users = new ScenarioUsers(simulation, servers, submittedJobs, controllers, rules, faultMonitor);
     ScenarioHosts hosts =
         new ScenarioHosts(simulation, store, cloud, controllers, workers, this::absentWorker);
+    cloud.isLeader = hosts::isLeader;
     steps = new ScenarioSteps(simulation, script, store, cloud, controllers, hosts, users);
     expectations = new ScenarioExpectations(cloud, store, rules, controllers, submittedJobs);
     HandoverFaults handoverFaults = new HandoverFaults(simulation, store, controllers);
--- a/src/test/java/org/sandford/scenario/ScenarioExpectations.java
+++ b/src/test/java/org/sandford/scenario/ScenarioExpectations.java
@@ -71,6 +71,7 @@
         "snapshots_received",
         step -> controllers.sum(MachineSnapshots::receivedCount) - snapshotsReceivedBefore);
     values.put("map_writes", step -> store.assignmentMapWrites - assignmentMapWritesBefore);
+    values.put("cloud_changes_by_former_leaders", step -> cloud.changesByFormerLeaders);
     values.put("start_delay_s", step -> secondsUntilStarted(job(step)));
     values.put("gang_runs", step -> job(step).gangRuns);
     values.put("orderly_stops", step -> job(step).orderlyStops);
--- a/src/test/java/org/sandford/scenario/ScenarioHosts.java
+++ b/src/test/java/org/sandford/scenario/ScenarioHosts.java
@@ -73,6 +73,11 @@
     return controllers.isRunning(label) ? label : controllers.anyRunning();
   }
 
+  /** Returns whether the controller leads, as stored. */
+  boolean isLeader(String label) {
+    return Cluster.isIncarnationOf(leaderId(), label);
+  }
+
   private String leaderId() {
     return textField(store.value("c/leader"), "id");
   }
--- a/src/test/java/org/sandford/scenario/ScenarioScript.java
+++ b/src/test/java/org/sandford/scenario/ScenarioScript.java
@@ -63,6 +63,7 @@
   int valueBytes = 16 * 1024;
   int txnOps = 24;
   double writeRps = 50;
+  double cloudRps = 5;
 
   /**
    * The limits that the store will have at some time after the upgrade; 0 when they don't change.
@@ -128,6 +129,7 @@
     settings.put("next_limits", this::readNextLimits);
     settings.put("start_with_production", line -> startsWithProductionVersion = true);
     settings.put("txn_ops", line -> txnOps = line.intAt(1));
+    settings.put("cloud_rps", line -> cloudRps = line.doubleAt(1));
     settings.put("write_rps", line -> writeRps = line.doubleAt(1));
     settings.put("gang_timeouts", this::readGangTimeouts);
     settings.put("until", line -> endS = line.doubleAt(1));
--- a/src/test/java/org/sandford/scenario/SimulatedControllers.java
+++ b/src/test/java/org/sandford/scenario/SimulatedControllers.java
@@ -170,7 +170,7 @@
         script.writeRps,
         valueBytes,
         txnOps,
-        5,
+        script.cloudRps,
         5,
         500,
         script.controllers);
