--- a/src/test/java/org/sandford/scenario/FakeCloud.java
+++ b/src/test/java/org/sandford/scenario/FakeCloud.java
@@ -93,64 +93,71 @@
     }
     JsonNode request = Json.read(body);
     if (path.equals("/flavors")) {
-      ObjectNode answer = Json.object();
-      ObjectNode kind = answer.putArray("machine_kinds").addObject();
-      kind.put("sku", "m8")
-          .put("vcpus", 8)
-          .put("accelerators", 0)
-          .put("ram_gb", 64)
-          .put("cache_gb", 50);
-      kind.put("fetch_gb_per_s", 1.0)
-          .put("hourly", 1.0)
-          .put("market_price", 0.4)
-          .put("ready_s", 10);
-      ArrayNode sites = kind.putArray("sites");
-      scenario.zones.forEach(sites::add);
-      respond.accept(new Response(200, answer));
+      respond.accept(new Response(200, instanceTypes()));
     } else if (path.equals("/machines")) {
-      String requestId = request.path("hire").asText();
-      ArrayNode hosts = hostsByRequest.get(requestId);
-      if (hosts == null) {
-        hosts = Json.array();
-        long usedOfPool =
-            machines.values().stream()
-                .filter(
-                    machine ->
-                        machine.zone.equals(request.path("site").asText())
-                            && machine.spot == request.path("reclaimable").asBoolean())
-                .count();
-        for (int i = 0;
-            i < request.path("number").asInt() && usedOfPool + i < scenario.script.poolSize;
-            i++) {
-          hosts.add(
-              rent(request.path("site").asText(), request.path("reclaimable").asBoolean(), bootS)
-                  .name);
-        }
-        if (hosts.isEmpty()) {
-          respond.accept(new Response(503, Json.object().put("error", "no capacity")));
-          return;
-        }
-        hostsByRequest.put(requestId, hosts);
-      }
-      ObjectNode answer = Json.object();
-      answer.set("hosts", hosts);
-      respond.accept(new Response(200, answer));
+      respond.accept(provision(request));
     } else if (path.equals("/machines/return")) {
       request.path("hosts").forEach(host -> removeMachine(host.asText()));
       respond.accept(new Response(200, Json.object()));
     } else {
-      ObjectNode answer = Json.object().put("more", false);
-      ArrayNode hosts = answer.putArray("hosts");
-      for (RentedMachine machine : machines.values()) {
-        if (simulation.now() - machine.rentedAt > listLagS * 1e9) {
-          ObjectNode host =
-              hosts.addObject().put("name_id", machine.name).put("addr", machine.name + ":90");
-          host.put("machine_kind", "m8").put("site", machine.zone).put("reclaimable", machine.spot);
-          host.put("status", machine.worker == null ? "booting" : "running");
-          host.put("held_s", (simulation.now() - machine.rentedAt) / 1e9);
-        }
+      respond.accept(new Response(200, listMachines()));
+    }
+  }
+
+  private ObjectNode instanceTypes() {
+    ObjectNode answer = Json.object();
+    ObjectNode kind = answer.putArray("machine_kinds").addObject();
+    kind.put("sku", "m8")
+        .put("vcpus", 8)
+        .put("accelerators", 0)
+        .put("ram_gb", 64)
+        .put("cache_gb", 50);
+    kind.put("fetch_gb_per_s", 1.0).put("hourly", 1.0).put("market_price", 0.4).put("ready_s", 10);
+    ArrayNode sites = kind.putArray("sites");
+    scenario.zones.forEach(sites::add);
+    return answer;
+  }
+
+  /** Rents machines of the pool while it has any; a repeated request gives the first answer. */
+  private Response provision(JsonNode request) {
+    String requestId = request.path("hire").asText();
+    ArrayNode hosts = hostsByRequest.get(requestId);
+    if (hosts == null) {
+      String zone = request.path("site").asText();
+      boolean spot = request.path("reclaimable").asBoolean();
+      hosts = Json.array();
+      long free = scenario.script.poolSize - countRented(zone, spot);
+      for (int i = 0; i < Math.min(free, request.path("number").asInt()); i++) {
+        hosts.add(rent(zone, spot, bootS).name);
+      }
+      if (hosts.isEmpty()) {
+        return new Response(503, Json.object().put("error", "no capacity"));
+      }
+      hostsByRequest.put(requestId, hosts);
+    }
+    ObjectNode answer = Json.object();
+    answer.set("hosts", hosts);
+    return new Response(200, answer);
+  }
+
+  private long countRented(String zone, boolean spot) {
+    return machines.values().stream()
+        .filter(machine -> machine.zone.equals(zone) && machine.spot == spot)
+        .count();
+  }
+
+  private ObjectNode listMachines() {
+    ObjectNode answer = Json.object().put("more", false);
+    ArrayNode hosts = answer.putArray("hosts");
+    for (RentedMachine machine : machines.values()) {
+      if (simulation.now() - machine.rentedAt > listLagS * 1e9) {
+        ObjectNode host =
+            hosts.addObject().put("name_id", machine.name).put("addr", machine.name + ":90");
+        host.put("machine_kind", "m8").put("site", machine.zone).put("reclaimable", machine.spot);
+        host.put("status", machine.worker == null ? "booting" : "running");
+        host.put("held_s", (simulation.now() - machine.rentedAt) / 1e9);
       }
-      respond.accept(new Response(200, answer));
     }
+    return answer;
   }
 }
--- a/src/test/java/org/sandford/scenario/FakeStore.java
+++ b/src/test/java/org/sandford/scenario/FakeStore.java
@@ -189,54 +189,69 @@
     if (watch) {
       follow(from, parseQuery(path), respond);
     } else if (path.equals("/txn")) {
-      if (throttledHosts.contains(from)) {
-        respond.accept(new Response(429, Json.object()));
-      } else if (interceptor.intercepts(from, Json.read(body), () -> transact(Json.read(body)))) {
-        return;
-      } else if (lateWritePercent > 0 && simulation.random.nextInt(100) < lateWritePercent) {
-        simulation.after(
-            2_000 + simulation.random.nextInt(10_000),
-            () -> {
-              if (!outage) {
-                transact(Json.read(body));
-              }
-            });
-      } else {
-        commit(body, respond);
-      }
+      receiveTransaction(from, body, respond);
     } else if (path.equals("/holds")) {
-      Hold hold = new Hold();
-      hold.ttlMs = Json.read(body).path("ttl_ms").asLong();
-      hold.expiresAt = simulation.now() + hold.ttlMs * Simulation.MS;
-      holds.put(++lastHoldId, hold);
-      respond.accept(new Response(200, Json.object().put("permit", lastHoldId)));
+      respond.accept(createHold(Json.read(body).path("ttl_ms").asLong()));
     } else if (path.startsWith("/holds/")) {
-      Hold hold = holds.get(Long.parseLong(path.split("/", -1)[2]));
-      if (hold == null) {
-        respond.accept(new Response(404, Json.object()));
-      } else {
-        hold.expiresAt = simulation.now() + hold.ttlMs * Simulation.MS;
-        respond.accept(new Response(200, Json.object()));
-      }
+      respond.accept(renewHold(Long.parseLong(path.split("/", -1)[2])));
     } else if (path.startsWith("/store?")) {
       respond.accept(listKeys(parseQuery(path)));
     } else if (path.startsWith("/store/")) {
-      String key = path.substring("/store/".length());
-      Item item = items.get(key);
-      ObjectNode answer = Json.object();
-      if (item == null) {
-        respond.accept(new Response(404, answer.put("epoch", epoch)));
-      } else {
-        answer.put("k", key).put("stamp", item.stamp).set("v", item.value);
-        respond.accept(new Response(200, answer));
-      }
+      respond.accept(readKey(path.substring("/store/".length())));
     } else {
       respond.accept(new Response(400, Json.object()));
     }
   }
 
-  private void commit(byte[] body, Consumer<Response> respond) {
-    Response result = transact(Json.read(body));
+  /** Carries out the transaction now, later or not at all, as the faults demand. */
+  private void receiveTransaction(String from, byte[] body, Consumer<Response> respond) {
+    JsonNode transaction = Json.read(body);
+    if (throttledHosts.contains(from)) {
+      respond.accept(new Response(429, Json.object()));
+    } else if (interceptor.intercepts(from, transaction, () -> transact(transaction))) {
+      return;
+    } else if (lateWritePercent > 0 && simulation.random.nextInt(100) < lateWritePercent) {
+      simulation.after(
+          2_000 + simulation.random.nextInt(10_000),
+          () -> {
+            if (!outage) {
+              transact(transaction);
+            }
+          });
+    } else {
+      commit(transaction, respond);
+    }
+  }
+
+  private Response createHold(long ttlMs) {
+    Hold hold = new Hold();
+    hold.ttlMs = ttlMs;
+    hold.expiresAt = simulation.now() + hold.ttlMs * Simulation.MS;
+    holds.put(++lastHoldId, hold);
+    return new Response(200, Json.object().put("permit", lastHoldId));
+  }
+
+  private Response renewHold(long id) {
+    Hold hold = holds.get(id);
+    if (hold == null) {
+      return new Response(404, Json.object());
+    }
+    hold.expiresAt = simulation.now() + hold.ttlMs * Simulation.MS;
+    return new Response(200, Json.object());
+  }
+
+  private Response readKey(String key) {
+    Item item = items.get(key);
+    if (item == null) {
+      return new Response(404, Json.object().put("epoch", epoch));
+    }
+    ObjectNode answer = Json.object().put("k", key).put("stamp", item.stamp);
+    answer.set("v", item.value);
+    return new Response(200, answer);
+  }
+
+  private void commit(JsonNode transaction, Consumer<Response> respond) {
+    Response result = transact(transaction);
     if (lostAnswerPercent > 0 && simulation.random.nextInt(100) < lostAnswerPercent) {
       return;
     }
