--- a/review/standins-2/Rules.java
+++ b/review/standins-2/Rules.java
@@ -80,6 +80,15 @@
     }
   }
 
+  /** Returns how many tasks of the job are on machines. */
+  synchronized int onMachines(Job job) {
+    int count = 0;
+    for (int i = 0; i < job.pieces; i++) {
+      count += byTask.getOrDefault(job.id + "/" + i, List.of()).size();
+    }
+    return count;
+  }
+
   /** Checks that no task of a cancelled job is on a machine longer than allowed. */
   synchronized void checkCancelled() {
     long now = Recorder.now();
