--- a/review/standins-2/Rules.java
+++ b/review/standins-2/Rules.java
@@ -89,6 +89,18 @@
     return count;
   }
 
+  /** Returns whether a task of the job is on the machine. */
+  synchronized boolean isOn(Job job, String machine) {
+    for (int i = 0; i < job.pieces; i++) {
+      for (OnMachine there : byTask.getOrDefault(job.id + "/" + i, List.of())) {
+        if (there.machine.equals(machine)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
   /** Checks that no task of a cancelled job is on a machine longer than allowed. */
   synchronized void checkCancelled() {
     long now = Recorder.now();
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -48,6 +48,9 @@
   /** While set, the machine neither runs its tasks nor answers or sends anything. */
   volatile boolean hung;
 
+  /** While set, its reports reach no controller; direct commands still reach it. */
+  volatile boolean mute;
+
   volatile boolean failsTasks;
 
   /** Seconds until the cloud takes the machine back, as its reports tell; null for none. */
@@ -253,7 +256,7 @@
     int node = target;
     Web.Response answer;
     try {
-      if (rig.cutFromWorkers(node)) {
+      if (mute || rig.cutFromWorkers(node)) {
         Web.sleep(1000);
         throw new IOException("cut");
       }
