--- a/review/standins-2/Web.java
+++ b/review/standins-2/Web.java
@@ -55,10 +55,16 @@
     Response handle(String method, String path, byte[] body) throws Exception;
   }
 
-  /** Returns a port below the ephemeral range that is free now. */
+  /** The ports that were handed out; some of them are not bound yet. */
+  private static final Set<Integer> PORTS = ConcurrentHashMap.newKeySet();
+
+  /** Returns a port below the ephemeral range that is free now, a different one each time. */
   static synchronized int freePort() throws IOException {
     for (int i = 0; i < 1000; i++) {
       int port = 12_000 + RANDOM.nextInt(18_000);
+      if (!PORTS.add(port)) {
+        continue;
+      }
       try (ServerSocket probe = new ServerSocket()) {
         probe.bind(new InetSocketAddress(LOOPBACK, port));
         return port;
